--- /dev/null
+++ b/berylchute/exceptions.py
@@ -0,0 +1,83 @@
+"""Define every exception of berylchute; each carries a stable code."""
+
+from typing import ClassVar
+
+__all__ = [
+    "BerylchuteError",
+    "CommandError",
+    "ConfigError",
+    "ExchangeError",
+    "PeerError",
+    "RoutingError",
+    "SettingsError",
+    "StoreConflict",
+    "StoreError",
+    "StoreOutcomeUnknown",
+    "StoreUnavailable",
+]
+
+
+class BerylchuteError(Exception):
+    """Base of all errors raised by berylchute."""
+
+    code: ClassVar[str] = "internal"
+
+
+class SettingsError(BerylchuteError):
+    """Report a wrong field in a process settings file."""
+
+    code = "settings_invalid"
+
+
+class ConfigError(BerylchuteError):
+    """Report a configuration document that cannot be decoded."""
+
+    code = "config_invalid"
+
+
+class StoreError(BerylchuteError):
+    """Report a failed call to the object store."""
+
+    code = "store_error"
+
+
+class StoreUnavailable(StoreError):
+    """Report a call that certainly did not take effect."""
+
+    code = "store_unavailable"
+
+
+class StoreOutcomeUnknown(StoreError):
+    """Report a write whose answer was lost; it may have taken effect."""
+
+    code = "store_outcome_unknown"
+
+
+class StoreConflict(StoreError):
+    """Report a conditional write whose expected version is not the current one."""
+
+    code = "store_conflict"
+
+
+class PeerError(BerylchuteError):
+    """Report a message from or to a peer that cannot be handled."""
+
+    code = "peer_error"
+
+
+class RoutingError(BerylchuteError):
+    """Report a request for which no backend server may be chosen."""
+
+    code = "no_route"
+
+
+class ExchangeError(BerylchuteError):
+    """Report a failed exchange with a backend server."""
+
+    code = "exchange_failed"
+
+
+class CommandError(BerylchuteError):
+    """Report a failed operator command."""
+
+    code = "command_failed"
--- /dev/null
+++ b/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Run experiments with real processes and stand-ins on loopback."""
