--- /dev/null
+++ b/berylchute/admission.py
@@ -0,0 +1,158 @@
+"""Queue requests of one service by deadline and refuse early under overload."""
+
+import math
+from collections.abc import Callable, Iterator
+from enum import StrEnum
+from typing import Literal
+
+import attrs
+
+from berylchute.types import ResourceId
+
+__all__ = [
+    "AdmissionQueue",
+    "QueuedRequest",
+    "Refusal",
+    "RefusalReason",
+    "ShortReserve",
+    "Size",
+]
+
+Size = Literal["short", "long"]
+
+SHORT_RESERVE_FRACTION = 0.2
+QUEUE_LENGTH_MAX = 256
+# Weight of a new sample in the running means of service time and start interval.
+SMOOTHING = 0.1
+# Bounds the work of one `take` when requests at the head cannot start.
+SCAN_MAX = 32
+
+
+class RefusalReason(StrEnum):
+    """Why a request leaves the queue without having run."""
+
+    QUEUE_FULL = "queue_full"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    EXPIRED = "expired"
+
+
+@attrs.frozen
+class QueuedRequest:
+    """A request that waits; a higher `plan_priority` is refused later."""
+
+    request_id: str
+    plan: str
+    plan_priority: int
+    kind: str
+    size: Size
+    deadline_s: float
+    enqueued_s: float
+
+
+@attrs.frozen
+class Refusal:
+    """A request refused as not run."""
+
+    request: QueuedRequest
+    reason: RefusalReason
+
+
+@attrs.define
+class _Entry:
+    request: QueuedRequest
+    order: tuple[float, int]
+    may_move: bool = False
+
+
+@attrs.define
+class AdmissionQueue:
+    """Hold a bounded number of requests of one service, earliest deadline first."""
+
+    service: str
+    length_max: int = QUEUE_LENGTH_MAX
+    _entries: list[_Entry] = attrs.field(factory=list, init=False)
+    _count: int = attrs.field(default=0, init=False)
+    _service_s: float = attrs.field(default=0.0, init=False)
+    _interval_s: float = attrs.field(default=0.0, init=False)
+    _last_start_s: float | None = attrs.field(default=None, init=False)
+
+    def __len__(self) -> int:
+        """Return the number of requests that wait."""
+        return len(self._entries)
+
+    def __iter__(self) -> Iterator[QueuedRequest]:
+        """Iterate over the requests that wait, in the order in which they start."""
+        return iter([entry.request for entry in self._entries])
+
+    def offer(self, request: QueuedRequest, now_s: float) -> tuple[Refusal, ...]:
+        """Queue a request; return the refusals this causes, perhaps of the request itself."""
+        raise NotImplementedError
+
+    def drop_expired(self, now_s: float) -> tuple[Refusal, ...]:
+        """Remove and return the requests that can no longer be answered in time."""
+        raise NotImplementedError
+
+    def take(
+        self, now_s: float, try_start: Callable[[QueuedRequest, bool], bool]
+    ) -> QueuedRequest | None:
+        """Remove and return the first request for which `try_start(request, may_move)` is true.
+
+        `may_move` is true for a request that was displaced and may go to the next region.
+        """
+        raise NotImplementedError
+
+    def remove(self, request_id: str) -> bool:
+        """Remove a request whose caller has gone; False when it does not wait."""
+        raise NotImplementedError
+
+    def displace(self, request_id: str) -> QueuedRequest | None:
+        """Exchange places with the first request of a lower plan that starts earlier.
+
+        The displaced request is returned and may go to the next region from then on.
+        """
+        raise NotImplementedError
+
+    def count_lower_plans(self, plan_priority: int) -> int:
+        """Return how many waiting requests have a lower plan priority and may be displaced."""
+        return sum(
+            entry.request.plan_priority < plan_priority and not entry.may_move
+            for entry in self._entries
+        )
+
+    def record_finish(self, service_time_s: float) -> None:
+        """Record how long a request held its slot, in seconds."""
+        self._service_s += SMOOTHING * (service_time_s - self._service_s)
+
+    def expected_wait_s(self, deadline_s: float) -> float:
+        """Return the expected wait in seconds of a request with this deadline."""
+        ahead = sum(entry.order[0] <= deadline_s for entry in self._entries)
+        return ahead * self._interval_s
+
+
+@attrs.define
+class ShortReserve:
+    """Keep the last units of a resource on this host for short kinds."""
+
+    fraction: float = SHORT_RESERVE_FRACTION
+    _in_use: dict[ResourceId, int] = attrs.field(factory=dict, init=False)
+
+    def record_start(self, resource: ResourceId) -> None:
+        """Count a unit of the resource as in use."""
+        self._in_use[resource] = self._in_use.get(resource, 0) + 1
+
+    def record_end(self, resource: ResourceId) -> None:
+        """Count a unit of the resource as free again."""
+        self._in_use[resource] = max(0, self._in_use.get(resource, 0) - 1)
+
+    def reserved_units(self, total_units: int) -> int:
+        """Return the units that long kinds leave free; one unit alone is open to both."""
+        return math.ceil(total_units * self.fraction) if total_units > 1 else 0
+
+    def allows(self, size: Size, resource: ResourceId, free_units: int) -> bool:
+        """Return whether a request of this size may take one of the free units."""
+        if free_units < 1:
+            return False
+        if size == "short":
+            return True
+        total = free_units + self._in_use.get(resource, 0)
+        return free_units - 1 >= self.reserved_units(total)
