--- a/berylchute/admission.py
+++ b/berylchute/admission.py
@@ -1,7 +1,8 @@
 """Queue requests of one service by deadline and refuse early under overload."""
 
 import math
-from collections.abc import Callable, Iterator
+from bisect import insort
+from collections.abc import Callable, Iterator, Sequence
 from enum import StrEnum
 from typing import Literal
 
@@ -57,13 +58,17 @@
     reason: RefusalReason
 
 
-@attrs.define
+@attrs.define(eq=False)
 class _Entry:
     request: QueuedRequest
     order: tuple[float, int]
     may_move: bool = False
 
 
+def _order(entry: _Entry) -> tuple[float, int]:
+    return entry.order
+
+
 @attrs.define
 class AdmissionQueue:
     """Hold a bounded number of requests of one service, earliest deadline first."""
@@ -86,11 +91,23 @@
 
     def offer(self, request: QueuedRequest, now_s: float) -> tuple[Refusal, ...]:
         """Queue a request; return the refusals this causes, perhaps of the request itself."""
-        raise NotImplementedError
+        refusals = list(self.drop_expired(now_s))
+        insort(self._entries, _Entry(request, (request.deadline_s, self._count)), key=_order)
+        self._count += 1
+        if len(self._entries) > self.length_max:
+            refusals.append(self._refuse_lowest(RefusalReason.QUEUE_FULL, self._entries))
+        else:
+            refusals.extend(self._refuse_unreachable(now_s))
+        return tuple(refusals)
 
     def drop_expired(self, now_s: float) -> tuple[Refusal, ...]:
         """Remove and return the requests that can no longer be answered in time."""
-        raise NotImplementedError
+        latest_s = now_s + self._service_s
+        expired = [entry for entry in self._entries if entry.request.deadline_s <= latest_s]
+        if not expired:
+            return ()
+        self._entries = [entry for entry in self._entries if entry.request.deadline_s > latest_s]
+        return tuple(Refusal(entry.request, RefusalReason.EXPIRED) for entry in expired)
 
     def take(
         self, now_s: float, try_start: Callable[[QueuedRequest, bool], bool]
@@ -99,18 +116,39 @@
 
         `may_move` is true for a request that was displaced and may go to the next region.
         """
-        raise NotImplementedError
+        for index, entry in enumerate(self._entries[:SCAN_MAX]):
+            if try_start(entry.request, entry.may_move):
+                del self._entries[index]
+                self._record_start(now_s)
+                return entry.request
+        return None
 
     def remove(self, request_id: str) -> bool:
         """Remove a request whose caller has gone; False when it does not wait."""
-        raise NotImplementedError
+        for index, entry in enumerate(self._entries):
+            if entry.request.request_id == request_id:
+                del self._entries[index]
+                return True
+        return False
 
     def displace(self, request_id: str) -> QueuedRequest | None:
         """Exchange places with the first request of a lower plan that starts earlier.
 
         The displaced request is returned and may go to the next region from then on.
         """
-        raise NotImplementedError
+        own = next((e for e in self._entries if e.request.request_id == request_id), None)
+        if own is None:
+            return None
+        for entry in self._entries:
+            if entry is own:
+                return None
+            lower = entry.request.plan_priority < own.request.plan_priority
+            if lower and not entry.may_move:
+                entry.order, own.order = own.order, entry.order
+                entry.may_move = True
+                self._entries.sort(key=_order)
+                return entry.request
+        return None
 
     def count_lower_plans(self, plan_priority: int) -> int:
         """Return how many waiting requests have a lower plan priority and may be displaced."""
@@ -128,6 +166,36 @@
         ahead = sum(entry.order[0] <= deadline_s for entry in self._entries)
         return ahead * self._interval_s
 
+    def _record_start(self, now_s: float) -> None:
+        if self._last_start_s is not None and self._entries:
+            # Only starts with work left behind them show how fast the service drains.
+            interval_s = now_s - self._last_start_s
+            self._interval_s += SMOOTHING * (interval_s - self._interval_s)
+        self._last_start_s = now_s
+
+    def _refuse_lowest(self, reason: RefusalReason, entries: Sequence[_Entry]) -> Refusal:
+        """Refuse the lowest plan priority and, within it, the latest deadline."""
+        victim = min(entries, key=lambda e: (e.request.plan_priority, -e.request.deadline_s))
+        self._entries.remove(victim)
+        return Refusal(victim.request, reason)
+
+    def _refuse_unreachable(self, now_s: float) -> Iterator[Refusal]:
+        """Refuse work until every request that waits can expect to start in time."""
+        while self._interval_s > 0.0:
+            start_s = now_s + self._service_s
+            late = next(
+                (
+                    index
+                    for index, entry in enumerate(self._entries)
+                    if start_s + index * self._interval_s > entry.request.deadline_s
+                ),
+                None,
+            )
+            if late is None:
+                return
+            ahead = self._entries[: late + 1]
+            yield self._refuse_lowest(RefusalReason.DEADLINE_UNREACHABLE, ahead)
+
 
 @attrs.define
 class ShortReserve:
--- a/berylchute/routing.py
+++ b/berylchute/routing.py
@@ -1,7 +1,7 @@
 """Choose backend servers for a request: plan, region, availability zone, server."""
 
 import random
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from enum import StrEnum
 from typing import Protocol
 
@@ -10,6 +10,16 @@
 from berylchute.admission import ShortReserve, Size
 from berylchute.balance import ServerObserver
 from berylchute.config import Configuration
+from berylchute.exceptions import RoutingError
+from berylchute.spillover import (
+    DisplaceFirst,
+    FullRegion,
+    FullRegionPolicy,
+    NextRegionFirst,
+    RouteAction,
+    WaitFirst,
+)
+from berylchute.topology import IndexedRegion, IndexedServer, IndexedZone, compile_index
 from berylchute.types import ResourceId, ResourceUnits
 
 __all__ = [
@@ -30,6 +40,13 @@
     "WaitFirst",
 ]
 
+# Regions examined per decision; more would not fit the time of a decision at 44 regions.
+REGIONS_MAX = 3
+# Servers examined per zone and group; bounds a decision when most servers are full.
+PROBES_MAX = 8
+# Power of two choices.
+CHOICES = 2
+
 
 class DrainView(Protocol):
     """Answer which targets are draining."""
@@ -76,15 +93,6 @@
     LOW_WEIGHT = "low_weight"
 
 
-class RouteAction(StrEnum):
-    """What to do with the request now."""
-
-    DISPATCH = "dispatch"
-    WAIT = "wait"
-    DISPLACE = "displace"
-    NONE_ALLOWED = "none_allowed"
-
-
 @attrs.frozen
 class RouteRequest:
     """What routing needs to know of a request; times are on the host's monotonic clock.
@@ -134,53 +142,15 @@
     wanted: Candidate | None
 
 
-@attrs.frozen
-class FullRegion:
-    """The state in which a full preferred region leaves a request; times in seconds."""
-
-    expected_wait_s: float
-    extra_delay_s: float
-    remaining_s: float
-    lower_plans_queued: int
-    next_region_free: int
-
-
-class FullRegionPolicy(Protocol):
-    """Choose what a request does whose preferred region is full."""
-
-    def choose(self, state: FullRegion) -> RouteAction:
-        """Return WAIT, DISPLACE, or DISPATCH to go to the next region."""
-        ...
-
-
-class WaitFirst:
-    """Wait for spare share in the preferred region while the deadline allows."""
-
-    def choose(self, state: FullRegion) -> RouteAction:
-        """Return WAIT unless the expected wait reaches the deadline."""
-        if state.next_region_free and state.expected_wait_s >= state.remaining_s:
-            return RouteAction.DISPATCH
-        return RouteAction.WAIT
-
-
-class NextRegionFirst:
-    """Go to the next region at once when it has free units."""
-
-    def choose(self, state: FullRegion) -> RouteAction:
-        """Return DISPATCH when the next region has free units, else WAIT."""
-        return RouteAction.DISPATCH if state.next_region_free else RouteAction.WAIT
-
+@attrs.define
+class _Ranked:
+    """Candidates found in one region; `wanted` is the best whatever its headroom."""
 
-class DisplaceFirst:
-    """Displace queued lower-plan work in the preferred region before moving on."""
-
-    def choose(self, state: FullRegion) -> RouteAction:
-        """Return DISPLACE when lower plans wait, else the quicker of WAIT and DISPATCH."""
-        if state.lower_plans_queued:
-            return RouteAction.DISPLACE
-        if state.next_region_free and state.expected_wait_s > state.extra_delay_s:
-            return RouteAction.DISPATCH
-        return RouteAction.WAIT
+    region: IndexedRegion
+    has_room: bool
+    free: list[Candidate]
+    wanted: Candidate | None
+    free_units: int
 
 
 class Router:
@@ -199,11 +169,211 @@
         policy: FullRegionPolicy,
     ) -> None:
         """Set the parts that routing asks; `configure` must follow."""
+        self._availability_zone = availability_zone
+        self._region = region
+        self._observer = observer
+        self._headroom = headroom
+        self._drains = drains
+        self._shifts = shifts
+        self._links = links
+        self._reserve = reserve
+        self._policy = policy
+        self._index: dict[tuple[str, str], tuple[IndexedRegion, ...]] = {}
 
     def configure(self, configuration: Configuration, base_units: Mapping[ResourceId, int]) -> None:
         """Compile the index; `base_units` (this host's base shares) sets which servers to try."""
-        raise NotImplementedError
+        self._index = compile_index(
+            configuration, self._availability_zone, self._region, base_units
+        )
 
     def route(self, request: RouteRequest, now_s: float, rng: random.Random) -> Route:
         """Return the candidates; raise RoutingError if the plan may not use the service."""
-        raise NotImplementedError
+        regions = self._index.get((request.plan, request.service))
+        if regions is None:
+            raise RoutingError(f"plan {request.plan!r} may not use service {request.service!r}")
+        usable = [r for r in regions if not self._drains.is_draining("region", r.name)]
+        preferred, is_shifted = self._prefer(usable, request.service, rng)
+        if preferred is None:
+            return Route(RouteAction.NONE_ALLOWED, (), None)
+        reason = RankReason.SHIFTED_REGION if is_shifted else RankReason.PREFERRED_REGION
+        first = self._rank_region(preferred, request, reason, now_s, rng)
+        rest = [region for region in usable if region is not preferred][: REGIONS_MAX - 1]
+        others = [
+            self._rank_region(region, request, RankReason.NEXT_REGION, now_s, rng)
+            for region in rest
+        ]
+        others.sort(key=lambda ranked: self._region_cost_s(ranked, request, now_s))
+        elsewhere = [candidate for ranked in others for candidate in ranked.free]
+        if first.wanted is None:
+            return _next_route(elsewhere, others)
+        if first.free:
+            return Route(RouteAction.DISPATCH, (*first.free, *elsewhere), first.wanted)
+        return self._leave_full(request, first, others, elsewhere, now_s)
+
+    def _prefer(
+        self, usable: Sequence[IndexedRegion], service: str, rng: random.Random
+    ) -> tuple[IndexedRegion | None, bool]:
+        """Return the nearest usable region, or the one that a shift sends the request to."""
+        if not usable:
+            return None, False
+        nearest = usable[0]
+        weights = self._shifts.region_weights(service, nearest.name)
+        if weights:
+            drawn = rng.random()
+            for region in usable:
+                drawn -= weights.get(region.name, 0.0)
+                if drawn < 0.0:
+                    return region, region is not nearest
+        return nearest, False
+
+    def _leave_full(
+        self,
+        request: RouteRequest,
+        first: _Ranked,
+        others: Sequence[_Ranked],
+        elsewhere: Sequence[Candidate],
+        now_s: float,
+    ) -> Route:
+        """Choose between waiting, displacing and moving for a full preferred region."""
+        if request.may_move and elsewhere:
+            return Route(RouteAction.DISPATCH, tuple(elsewhere), first.wanted)
+        nearest = next((ranked for ranked in others if ranked.free), None)
+        extra_s = 0.0
+        if nearest is not None:
+            extra_s = 2 * (nearest.region.delay_s - first.region.delay_s)
+        action = self._policy.choose(
+            FullRegion(
+                expected_wait_s=request.expected_wait_s,
+                extra_delay_s=extra_s,
+                remaining_s=request.until_s - now_s,
+                lower_plans_queued=request.lower_plans_queued,
+                next_region_free=nearest.free_units if nearest else 0,
+            )
+        )
+        candidates = tuple(elsewhere) if action is RouteAction.DISPATCH else ()
+        return Route(action, candidates, first.wanted)
+
+    def _region_cost_s(self, ranked: _Ranked, request: RouteRequest, now_s: float) -> float:
+        region = ranked.region
+        cost_s = 2 * region.delay_s
+        if region.link_out:
+            cost_s += self._links.wait_s(region.link_out, request.request_bytes, now_s)
+            cost_s += self._links.wait_s(region.link_back, request.answer_bytes, now_s)
+        if ranked.free:
+            cost_s += self._observer.latency_s(ranked.free[0].server, now_s)
+        return cost_s
+
+    def _rank_region(
+        self,
+        region: IndexedRegion,
+        request: RouteRequest,
+        reason: RankReason,
+        now_s: float,
+        rng: random.Random,
+    ) -> _Ranked:
+        """Sample servers zone by zone; free ones with their full share come first."""
+        free_units = self._region_units(region, request, now_s)
+        free: list[Candidate] = []
+        weak: list[Candidate] = []
+        wanted: Candidate | None = None
+        for zone in region.zones:
+            if self._drains.is_draining("availability_zone", zone.name):
+                continue
+            near = zone.is_near and reason is RankReason.PREFERRED_REGION
+            zone_reason = RankReason.NEAREST_ZONE if near else reason
+            for server, has_slot in self._sample(zone, request, free_units > 0, now_s, rng):
+                weight = self._observer.weight(server.name, now_s)
+                is_weak = weight < 1.0 and rng.random() >= weight
+                why = RankReason.LOW_WEIGHT if is_weak else zone_reason
+                score_s = self._observer.score_s(server.name, now_s) + 2 * zone.delay_s
+                candidate = _candidate(server, zone, region, why, score_s)
+                if not is_weak and (wanted is None or score_s < wanted.score_s):
+                    wanted = candidate
+                if has_slot:
+                    (weak if is_weak else free).append(candidate)
+                elif is_weak and wanted is None:
+                    wanted = candidate
+        free.sort(key=_score)
+        weak.sort(key=_score)
+        free.extend(weak)
+        if wanted is None and free:
+            wanted = free[0]
+        return _Ranked(region, free_units > 0, free, wanted, free_units)
+
+    def _region_units(self, region: IndexedRegion, request: RouteRequest, now_s: float) -> int:
+        """Return the units free for the request in region and plan, 0 if reserved for short."""
+        free = self._headroom.free_units
+        region_free = free(region.units.resource, request.until_s, now_s)
+        if not self._reserve.allows(request.size, region.units.resource, region_free):
+            return 0
+        return min(region_free, free(region.plan_units.resource, request.until_s, now_s))
+
+    def _sample(
+        self,
+        zone: IndexedZone,
+        request: RouteRequest,
+        has_room: bool,
+        now_s: float,
+        rng: random.Random,
+    ) -> Iterator[tuple[IndexedServer, bool]]:
+        """Yield up to two servers with a free slot, and one without when there are none."""
+        found = 0
+        full: IndexedServer | None = None
+        for servers in (zone.owned, zone.others):
+            count = len(servers)
+            offset = int(rng.random() * count)
+            for step in range(min(count, PROBES_MAX)):
+                server = servers[(offset + step) % count]
+                if server.name in request.excluded:
+                    continue
+                if self._drains.is_draining("server", server.name):
+                    continue
+                if has_room and self._has_slot(server, request, now_s):
+                    yield server, True
+                    found += 1
+                    if found == CHOICES:
+                        return
+                elif full is None:
+                    full = server
+                    if not has_room:
+                        yield server, False
+                        return
+        if full is not None and not found:
+            yield full, False
+
+    def _has_slot(self, server: IndexedServer, request: RouteRequest, now_s: float) -> bool:
+        resource = server.units.resource
+        slots = self._headroom.free_units(resource, request.until_s, now_s)
+        return self._reserve.allows(request.size, resource, slots)
+
+
+def _score(candidate: Candidate) -> float:
+    return candidate.score_s
+
+
+def _next_route(elsewhere: Sequence[Candidate], others: Sequence[_Ranked]) -> Route:
+    """Return a route when the preferred region has no server that may be used."""
+    if elsewhere:
+        return Route(RouteAction.DISPATCH, tuple(elsewhere), elsewhere[0])
+    wanted = next((ranked.wanted for ranked in others if ranked.wanted), None)
+    return Route(RouteAction.WAIT if wanted else RouteAction.NONE_ALLOWED, (), wanted)
+
+
+def _candidate(
+    server: IndexedServer,
+    zone: IndexedZone,
+    region: IndexedRegion,
+    reason: RankReason,
+    score_s: float,
+) -> Candidate:
+    return Candidate(
+        server.name,
+        server.address,
+        zone.name,
+        region.name,
+        (server.units, region.units, region.plan_units),
+        region.link_out,
+        region.link_back,
+        reason,
+        score_s,
+    )
--- /dev/null
+++ b/berylchute/spillover.py
@@ -0,0 +1,73 @@
+"""Choose what a request does whose preferred region is full."""
+
+from enum import StrEnum
+from typing import Protocol
+
+import attrs
+
+__all__ = [
+    "DisplaceFirst",
+    "FullRegion",
+    "FullRegionPolicy",
+    "NextRegionFirst",
+    "RouteAction",
+    "WaitFirst",
+]
+
+
+class RouteAction(StrEnum):
+    """What to do with the request now."""
+
+    DISPATCH = "dispatch"
+    WAIT = "wait"
+    DISPLACE = "displace"
+    NONE_ALLOWED = "none_allowed"
+
+
+@attrs.frozen
+class FullRegion:
+    """The state in which a full preferred region leaves a request; times in seconds."""
+
+    expected_wait_s: float
+    extra_delay_s: float
+    remaining_s: float
+    lower_plans_queued: int
+    next_region_free: int
+
+
+class FullRegionPolicy(Protocol):
+    """Choose what a request does whose preferred region is full."""
+
+    def choose(self, state: FullRegion) -> RouteAction:
+        """Return WAIT, DISPLACE, or DISPATCH to go to the next region."""
+        ...
+
+
+class WaitFirst:
+    """Wait for spare share in the preferred region while the deadline allows."""
+
+    def choose(self, state: FullRegion) -> RouteAction:
+        """Return WAIT unless the expected wait reaches the deadline."""
+        if state.next_region_free and state.expected_wait_s >= state.remaining_s:
+            return RouteAction.DISPATCH
+        return RouteAction.WAIT
+
+
+class NextRegionFirst:
+    """Go to the next region at once when it has free units."""
+
+    def choose(self, state: FullRegion) -> RouteAction:
+        """Return DISPATCH when the next region has free units, else WAIT."""
+        return RouteAction.DISPATCH if state.next_region_free else RouteAction.WAIT
+
+
+class DisplaceFirst:
+    """Displace queued lower-plan work in the preferred region before moving on."""
+
+    def choose(self, state: FullRegion) -> RouteAction:
+        """Return DISPLACE when lower plans wait, else the quicker of WAIT and DISPATCH."""
+        if state.lower_plans_queued:
+            return RouteAction.DISPLACE
+        if state.next_region_free and state.expected_wait_s > state.extra_delay_s:
+            return RouteAction.DISPATCH
+        return RouteAction.WAIT
