Speed up routing and add the locator

Ranks further regions only when the preferred one is full or slow, and keeps static facts in the index.

--- a/berylchute/admission.py
+++ b/berylchute/admission.py
@@ -77,6 +77,7 @@
     length_max: int = QUEUE_LENGTH_MAX
     _entries: list[_Entry] = attrs.field(factory=list, init=False)
     _count: int = attrs.field(default=0, init=False)
+    _displaced: int = attrs.field(default=0, init=False)
     _service_s: float = attrs.field(default=0.0, init=False)
     _interval_s: float = attrs.field(default=0.0, init=False)
     _last_start_s: float | None = attrs.field(default=None, init=False)
@@ -116,12 +117,16 @@
 
         `may_move` is true for a request that was displaced and may go to the next region.
         """
-        for index, entry in enumerate(self._entries[:SCAN_MAX]):
-            if try_start(entry.request, entry.may_move):
-                del self._entries[index]
-                self._record_start(now_s)
-                return entry.request
-        return None
+        while True:
+            displaced = self._displaced
+            for entry in self._entries[:SCAN_MAX]:
+                if try_start(entry.request, entry.may_move):
+                    self._entries.remove(entry)
+                    self._record_start(now_s)
+                    return entry.request
+            # `try_start` may have displaced a request passed over before; it may go on now.
+            if self._displaced == displaced:
+                return None
 
     def remove(self, request_id: str) -> bool:
         """Remove a request whose caller has gone; False when it does not wait."""
@@ -146,16 +151,19 @@
             if lower and not entry.may_move:
                 entry.order, own.order = own.order, entry.order
                 entry.may_move = True
+                self._displaced += 1
                 self._entries.sort(key=_order)
                 return entry.request
         return None
 
-    def count_lower_plans(self, plan_priority: int) -> int:
-        """Return how many waiting requests have a lower plan priority and may be displaced."""
-        return sum(
-            entry.request.plan_priority < plan_priority and not entry.may_move
-            for entry in self._entries
-        )
+    def count_lower_plans(self, request: QueuedRequest) -> int:
+        """Return how many requests of lower plans start earlier and may be displaced."""
+        count = 0
+        for entry in self._entries:
+            if entry.request.request_id == request.request_id:
+                break
+            count += entry.request.plan_priority < request.plan_priority and not entry.may_move
+        return count
 
     def record_finish(self, service_time_s: float) -> None:
         """Record how long a request held its slot, in seconds."""
--- a/berylchute/balance.py
+++ b/berylchute/balance.py
@@ -83,6 +83,7 @@
         self._servers: dict[str, _Server] = {}
         self._siblings: dict[str, list[_Server]] = {}
         self._judged_s: dict[str, float] = {}
+        self._median_s: dict[str, float] = {}
 
     def configure(self, configuration: Configuration, now_s: float) -> None:
         """Follow the configured servers; those added after the first call start slowly."""
@@ -148,10 +149,16 @@
             if found := self._servers.get(name):
                 found.started_s = now_s
 
-    def score_s(self, server: str, now_s: float) -> float:
-        """Return peak-EWMA latency x (in flight + 1) in seconds, raised by bad reports."""
+    def score(self, server: str, now_s: float) -> tuple[float, float]:
+        """Return the score in seconds (lower is better) and the weight of a server.
+
+        The score is peak-EWMA latency x (in flight + 1), raised by bad load reports.
+        """
         found = self._servers[server]
-        return _decayed_s(found, now_s) * (found.in_flight + 1) * _report_factor(found, now_s)
+        score_s = _decayed_s(found, now_s) * (found.in_flight + 1)
+        if found.report is not None:
+            score_s *= _report_factor(found.report, now_s - found.reported_s)
+        return score_s, _weight(found, now_s)
 
     def latency_s(self, server: str, now_s: float) -> float:
         """Return the peak-EWMA latency in seconds."""
@@ -159,13 +166,11 @@
 
     def weight(self, server: str, now_s: float) -> float:
         """Return the share, 0 (ejected) to 1, of the load that the server should get."""
-        found = self._servers[server]
-        if found.ejected_until_s > now_s:
-            return 0.0
-        age_s = now_s - found.started_s
-        if age_s >= SLOW_START_S:
-            return found.weight
-        return found.weight * max(WEIGHT_MIN, age_s / SLOW_START_S)
+        return _weight(self._servers[server], now_s)
+
+    def median_s(self, service: str) -> float:
+        """Return the median of the mean latencies of a service's servers; 0 while unknown."""
+        return self._median_s.get(service, 0.0)
 
     def in_flight(self, server: str) -> int:
         """Return the attempts of this host that the server has not ended."""
@@ -190,7 +195,9 @@
         judged = [server for server in siblings if server.samples >= SAMPLES_MIN]
         if len(judged) < SIBLINGS_MIN:
             return
-        slow_log = statistics.median(s.log_mean for s in judged) + math.log(SLOW_RATIO)
+        median_log = statistics.median(server.log_mean for server in judged)
+        slow_log = median_log + math.log(SLOW_RATIO)
+        self._median_s[service] = math.exp(median_log)
         for server in judged:
             if server.ejected_until_s > now_s:
                 continue
@@ -256,10 +263,19 @@
     server.sampled_s = now_s
 
 
-def _report_factor(server: _Server, now_s: float) -> float:
+def _weight(server: _Server, now_s: float) -> float:
+    if server.ejected_until_s > now_s:
+        return 0.0
+    age_s = now_s - server.started_s
+    if age_s >= SLOW_START_S:
+        return server.weight
+    return server.weight * max(WEIGHT_MIN, age_s / SLOW_START_S)
+
+
+def _report_factor(report: LoadReport, age_s: float) -> float:
     """Return at least 1; an old report loses its effect because it may no longer hold."""
-    if server.report is None or now_s - server.reported_s > REPORT_AGE_MAX_S:
+    if age_s > REPORT_AGE_MAX_S:
         return 1.0
-    if server.report.state == "draining":
+    if report.state == "draining":
         return DRAINING_FACTOR
-    return 1.0 + max(0.0, min(1.0, server.report.load) - BUSY_LOAD)
+    return 1.0 + max(0.0, min(1.0, report.load) - BUSY_LOAD)
--- /dev/null
+++ b/berylchute/blocks.py
@@ -0,0 +1,158 @@
+"""Map client addresses to sites with sorted arrays."""
+
+import ipaddress
+from array import array
+from bisect import bisect_right
+from collections.abc import Iterable, Iterator, Sequence
+
+import attrs
+
+from berylchute.exceptions import ConfigError
+
+__all__ = ["SITES_MAX", "BlockTable"]
+
+# Site numbers take two bytes a block.
+SITES_MAX = 65535
+V4_BITS = 32
+# Sites are told apart by at most the network half of an IPv6 address.
+V6_BITS = 64
+
+
+@attrs.frozen
+class _Block:
+    start: int
+    prefix: int
+    site: int
+
+
+class _Blocks:
+    """Disjoint blocks of one address family in three parallel sorted arrays."""
+
+    def __init__(self, bits: int, blocks: Iterable[_Block]) -> None:
+        self._bits = bits
+        self._starts = array("I" if bits == V4_BITS else "Q")
+        self._prefixes = array("B")
+        self._sites = array("H")
+        ordered = sorted(blocks, key=lambda block: (block.start, block.prefix))
+        for block in _flatten(bits, ordered):
+            self._starts.append(block.start)
+            self._prefixes.append(block.prefix)
+            self._sites.append(block.site)
+
+    def __len__(self) -> int:
+        return len(self._starts)
+
+    def size_bytes(self) -> int:
+        return sum(
+            len(column) * column.itemsize for column in (self._starts, self._prefixes, self._sites)
+        )
+
+    def find(self, address: int) -> int:
+        """Return the index of the block that holds the address, -1 if there is none."""
+        index = bisect_right(self._starts, address) - 1
+        if index >= 0 and (address - self._starts[index]) >> (self._bits - self._prefixes[index]):
+            return -1
+        return index
+
+    def site(self, index: int) -> int:
+        return self._sites[index]
+
+    def start(self, index: int) -> int:
+        return self._starts[index]
+
+
+def _flatten(bits: int, ordered: Sequence[_Block]) -> Iterator[_Block]:
+    """Split blocks around the longer prefixes inside them, so that a look-up needs one search."""
+    open_blocks: list[_Block] = []
+    position = 0
+    for block in ordered:
+        while open_blocks and _end(bits, open_blocks[-1]) <= block.start:
+            closed = open_blocks.pop()
+            yield from _cover(bits, position, _end(bits, closed), closed.site)
+            position = max(position, _end(bits, closed))
+        if open_blocks:
+            if block.start == open_blocks[-1].start and block.prefix == open_blocks[-1].prefix:
+                continue
+            yield from _cover(bits, position, block.start, open_blocks[-1].site)
+        position = max(position, block.start)
+        open_blocks.append(block)
+    while open_blocks:
+        closed = open_blocks.pop()
+        yield from _cover(bits, position, _end(bits, closed), closed.site)
+        position = max(position, _end(bits, closed))
+
+
+def _end(bits: int, block: _Block) -> int:
+    return block.start + (1 << (bits - block.prefix))
+
+
+def _cover(bits: int, start: int, end: int, site: int) -> Iterator[_Block]:
+    """Yield the fewest aligned blocks that cover `start` up to `end`."""
+    while start < end:
+        size_bits = (end - start).bit_length() - 1
+        if start:
+            size_bits = min(size_bits, (start & -start).bit_length() - 1)
+        yield _Block(start, bits - size_bits, site)
+        start += 1 << size_bits
+
+
+class BlockTable:
+    """Map client addresses to site numbers with sorted arrays."""
+
+    def __init__(self, blocks: Iterable[tuple[str, int]]) -> None:
+        """Build from (CIDR, site number) pairs; the longest prefix wins.
+
+        Raises ConfigError for a CIDR that is none or an IPv6 prefix longer than 64.
+        """
+        v4: list[_Block] = []
+        v6: list[_Block] = []
+        for cidr, site in blocks:
+            block, is_v4 = _parse_block(cidr, site)
+            (v4 if is_v4 else v6).append(block)
+        self._v4 = _Blocks(V4_BITS, v4)
+        self._v6 = _Blocks(V6_BITS, v6)
+
+    def __len__(self) -> int:
+        """Return the number of disjoint blocks."""
+        return len(self._v4) + len(self._v6)
+
+    def size_bytes(self) -> int:
+        """Return the bytes that the arrays take."""
+        return self._v4.size_bytes() + self._v6.size_bytes()
+
+    def find_site(self, address: str) -> int | None:
+        """Return the site number of the block that holds the address; None if there is none."""
+        blocks, number = self._parse(address)
+        index = blocks.find(number)
+        return None if index < 0 else blocks.site(index)
+
+    def find_block(self, address: str) -> str:
+        """Return a stable name of the block that holds the address, empty if there is none."""
+        blocks, number = self._parse(address)
+        index = blocks.find(number)
+        return "" if index < 0 else f"{blocks.start(index):x}"
+
+    def _parse(self, address: str) -> tuple[_Blocks, int]:
+        """Return the table and number of an address; -1 matches no block."""
+        try:
+            if ":" not in address:
+                return self._v4, int(ipaddress.IPv4Address(address))
+            found = ipaddress.IPv6Address(address)
+        except ipaddress.AddressValueError:
+            return self._v4, -1
+        if found.ipv4_mapped is not None:
+            return self._v4, int(found.ipv4_mapped)
+        return self._v6, int(found) >> V6_BITS
+
+
+def _parse_block(cidr: str, site: int) -> tuple[_Block, bool]:
+    try:
+        network = ipaddress.ip_network(cidr)
+    except ValueError as error:
+        raise ConfigError(f"client_blocks: {cidr!r}: {error}") from error
+    start = int(network.network_address)
+    if network.version == 4:
+        return _Block(start, network.prefixlen, site), True
+    if network.prefixlen > V6_BITS:
+        raise ConfigError(f"client_blocks: {cidr!r}: IPv6 prefix is longer than {V6_BITS}")
+    return _Block(start >> V6_BITS, network.prefixlen, site), False
--- a/berylchute/routing.py
+++ b/berylchute/routing.py
@@ -1,16 +1,17 @@
 """Choose backend servers for a request: plan, region, availability zone, server."""
 
+import operator
 import random
-from collections.abc import Iterator, Mapping, Sequence
-from enum import StrEnum
+from collections.abc import Mapping, Sequence
 from typing import Protocol
 
 import attrs
 
-from berylchute.admission import ShortReserve, Size
+from berylchute.admission import ShortReserve
 from berylchute.balance import ServerObserver
 from berylchute.config import Configuration
 from berylchute.exceptions import RoutingError
+from berylchute.routes import Candidate, RankReason, Route, RouteRequest
 from berylchute.spillover import (
     DisplaceFirst,
     FullRegion,
@@ -20,7 +21,7 @@
     WaitFirst,
 )
 from berylchute.topology import IndexedRegion, IndexedServer, IndexedZone, compile_index
-from berylchute.types import ResourceId, ResourceUnits
+from berylchute.types import ResourceId
 
 __all__ = [
     "Candidate",
@@ -42,8 +43,12 @@
 
 # Regions examined per decision; more would not fit the time of a decision at 44 regions.
 REGIONS_MAX = 3
-# Servers examined per zone and group; bounds a decision when most servers are full.
-PROBES_MAX = 8
+# Servers examined per region; bounds a decision when most servers are full.
+PROBES_MAX = 12
+# Ranks a server that should get less than its share after all others.
+LOW_WEIGHT_COST_S = 1.0
+# A best server slower than this multiple of its siblings' median makes other regions eligible.
+SLOW_RATIO = 2.5
 # Power of two choices.
 CHOICES = 2
 
@@ -83,74 +88,15 @@
         ...
 
 
-class RankReason(StrEnum):
-    """Why a candidate has its rank."""
-
-    NEAREST_ZONE = "nearest_zone"
-    PREFERRED_REGION = "preferred_region"
-    SHIFTED_REGION = "shifted_region"
-    NEXT_REGION = "next_region"
-    LOW_WEIGHT = "low_weight"
-
-
-@attrs.frozen
-class RouteRequest:
-    """What routing needs to know of a request; times are on the host's monotonic clock.
-
-    `until_s` is the deadline; `request_bytes` and `answer_bytes` are expected sizes;
-    `expected_wait_s` and `lower_plans_queued` come from the service's admission queue;
-    `may_move` sends a displaced request on; `excluded` names servers already tried.
-    """
-
-    plan: str
-    service: str
-    size: Size
-    until_s: float
-    request_bytes: int = 0
-    answer_bytes: int = 0
-    expected_wait_s: float = 0.0
-    lower_plans_queued: int = 0
-    may_move: bool = False
-    excluded: frozenset[str] = frozenset()
-
-
-@attrs.frozen
-class Candidate:
-    """A backend server that the request may use, with the units that it needs."""
-
-    server: str
-    address: str
-    availability_zone: str
-    region: str
-    units: tuple[ResourceUnits, ...]
-    link_out: ResourceId
-    link_back: ResourceId
-    reason: RankReason
-    score_s: float
-
-
-@attrs.frozen
-class Route:
-    """Candidates with free units, best first, or what to wait for.
-
-    `wanted` is the best candidate in the preferred region whatever its headroom; unmet
-    demand is noted for its units.
-    """
-
-    action: RouteAction
-    candidates: tuple[Candidate, ...]
-    wanted: Candidate | None
-
-
 @attrs.define
 class _Ranked:
     """Candidates found in one region; `wanted` is the best whatever its headroom."""
 
     region: IndexedRegion
-    has_room: bool
-    free: list[Candidate]
-    wanted: Candidate | None
     free_units: int
+    free: list[Candidate] = attrs.field(factory=list)
+    wanted: Candidate | None = None
+    probes: int = PROBES_MAX
 
 
 class Router:
@@ -197,19 +143,59 @@
             return Route(RouteAction.NONE_ALLOWED, (), None)
         reason = RankReason.SHIFTED_REGION if is_shifted else RankReason.PREFERRED_REGION
         first = self._rank_region(preferred, request, reason, now_s, rng)
-        rest = [region for region in usable if region is not preferred][: REGIONS_MAX - 1]
-        others = [
-            self._rank_region(region, request, RankReason.NEXT_REGION, now_s, rng)
-            for region in rest
-        ]
-        others.sort(key=lambda ranked: self._region_cost_s(ranked, request, now_s))
+        if first.free:
+            first.wanted = first.free[0]
+        if first.free and not self._is_slow(first, request.service, now_s):
+            return Route(RouteAction.DISPATCH, tuple(first.free), first.wanted)
+        others = self._rank_others(usable, preferred, request, now_s, rng)
         elsewhere = [candidate for ranked in others for candidate in ranked.free]
+        if first.free:
+            return self._compare(first, others, request, now_s)
         if first.wanted is None:
             return _next_route(elsewhere, others)
-        if first.free:
-            return Route(RouteAction.DISPATCH, (*first.free, *elsewhere), first.wanted)
         return self._leave_full(request, first, others, elsewhere, now_s)
 
+    def _is_slow(self, ranked: _Ranked, service: str, now_s: float) -> bool:
+        """Return whether a better server may be found in another region."""
+        best = ranked.free[0]
+        if best.reason is RankReason.LOW_WEIGHT:
+            return True
+        median_s = self._observer.median_s(service)
+        return 0.0 < SLOW_RATIO * median_s < self._observer.latency_s(best.server, now_s)
+
+    def _rank_others(
+        self,
+        usable: Sequence[IndexedRegion],
+        preferred: IndexedRegion,
+        request: RouteRequest,
+        now_s: float,
+        rng: random.Random,
+    ) -> list[_Ranked]:
+        """Rank other regions, nearest first, until one has a free server that is not slow."""
+        near: list[tuple[float, float, IndexedRegion]] = []
+        for region in usable:
+            if region is not preferred:
+                near.append((self._distance_s(region, request, now_s), rng.random(), region))
+        near.sort(key=_distance)
+        others: list[_Ranked] = []
+        for _, _, region in near[: REGIONS_MAX - 1]:
+            ranked = self._rank_region(region, request, RankReason.NEXT_REGION, now_s, rng)
+            others.append(ranked)
+            if ranked.free and not self._is_slow(ranked, request.service, now_s):
+                break
+        if len(others) > 1:
+            others.sort(key=lambda ranked: self._region_cost_s(ranked, request, now_s))
+        return others
+
+    def _compare(
+        self, first: _Ranked, others: Sequence[_Ranked], request: RouteRequest, now_s: float
+    ) -> Route:
+        """Put a region with quicker servers before a preferred region that is slow."""
+        ordered = [first, *(ranked for ranked in others if ranked.free)]
+        ordered.sort(key=lambda ranked: self._region_cost_s(ranked, request, now_s))
+        candidates = tuple(candidate for ranked in ordered for candidate in ranked.free)
+        return Route(RouteAction.DISPATCH, candidates, first.wanted)
+
     def _prefer(
         self, usable: Sequence[IndexedRegion], service: str, rng: random.Random
     ) -> tuple[IndexedRegion | None, bool]:
@@ -253,14 +239,21 @@
         candidates = tuple(elsewhere) if action is RouteAction.DISPATCH else ()
         return Route(action, candidates, first.wanted)
 
+    def _distance_s(self, region: IndexedRegion, request: RouteRequest, now_s: float) -> float:
+        """Return the round trip and the wait for the links' budgets, in seconds."""
+        if not region.link_out:
+            return 2 * region.delay_s
+        out_s = self._links.wait_s(region.link_out, request.request_bytes, now_s)
+        back_s = self._links.wait_s(region.link_back, request.answer_bytes, now_s)
+        return 2 * region.delay_s + out_s + back_s
+
     def _region_cost_s(self, ranked: _Ranked, request: RouteRequest, now_s: float) -> float:
-        region = ranked.region
-        cost_s = 2 * region.delay_s
-        if region.link_out:
-            cost_s += self._links.wait_s(region.link_out, request.request_bytes, now_s)
-            cost_s += self._links.wait_s(region.link_back, request.answer_bytes, now_s)
+        cost_s = self._distance_s(ranked.region, request, now_s)
         if ranked.free:
-            cost_s += self._observer.latency_s(ranked.free[0].server, now_s)
+            best = ranked.free[0]
+            cost_s += self._observer.latency_s(best.server, now_s)
+            if best.reason is RankReason.LOW_WEIGHT:
+                cost_s += LOW_WEIGHT_COST_S
         return cost_s
 
     def _rank_region(
@@ -271,84 +264,89 @@
         now_s: float,
         rng: random.Random,
     ) -> _Ranked:
-        """Sample servers zone by zone; free ones with their full share come first."""
-        free_units = self._region_units(region, request, now_s)
-        free: list[Candidate] = []
-        weak: list[Candidate] = []
-        wanted: Candidate | None = None
-        for zone in region.zones:
+        """Sample servers, nearest zone first; weak ones come last."""
+        ranked = _Ranked(region, self._region_units(region, request, now_s))
+        near_reason = reason if reason is not _PREFERRED else RankReason.NEAREST_ZONE
+        for zone in region.near_zones:
+            if not self._drains.is_draining("availability_zone", zone.name):
+                self._search_zone(ranked, zone, request, near_reason, now_s, rng)
+        count = len(region.zones)
+        offset = int(rng.random() * count)
+        wanted = len(ranked.free) + CHOICES
+        for step in range(count):
+            zone = region.zones[(offset + step) % count]
             if self._drains.is_draining("availability_zone", zone.name):
                 continue
-            near = zone.is_near and reason is RankReason.PREFERRED_REGION
-            zone_reason = RankReason.NEAREST_ZONE if near else reason
-            for server, has_slot in self._sample(zone, request, free_units > 0, now_s, rng):
-                weight = self._observer.weight(server.name, now_s)
-                is_weak = weight < 1.0 and rng.random() >= weight
-                why = RankReason.LOW_WEIGHT if is_weak else zone_reason
-                score_s = self._observer.score_s(server.name, now_s) + 2 * zone.delay_s
-                candidate = _candidate(server, zone, region, why, score_s)
-                if not is_weak and (wanted is None or score_s < wanted.score_s):
-                    wanted = candidate
-                if has_slot:
-                    (weak if is_weak else free).append(candidate)
-                elif is_weak and wanted is None:
-                    wanted = candidate
-        free.sort(key=_score)
-        weak.sort(key=_score)
-        free.extend(weak)
-        if wanted is None and free:
-            wanted = free[0]
-        return _Ranked(region, free_units > 0, free, wanted, free_units)
+            self._search_zone(ranked, zone, request, reason, now_s, rng)
+            if len(ranked.free) >= wanted:
+                break
+        ranked.free.sort(key=_score)
+        return ranked
 
-    def _region_units(self, region: IndexedRegion, request: RouteRequest, now_s: float) -> int:
-        """Return the units free for the request in region and plan, 0 if reserved for short."""
-        free = self._headroom.free_units
-        region_free = free(region.units.resource, request.until_s, now_s)
-        if not self._reserve.allows(request.size, region.units.resource, region_free):
-            return 0
-        return min(region_free, free(region.plan_units.resource, request.until_s, now_s))
-
-    def _sample(
+    def _search_zone(
         self,
+        ranked: _Ranked,
         zone: IndexedZone,
         request: RouteRequest,
-        has_room: bool,
+        reason: RankReason,
         now_s: float,
         rng: random.Random,
-    ) -> Iterator[tuple[IndexedServer, bool]]:
-        """Yield up to two servers with a free slot, and one without when there are none."""
-        found = 0
-        full: IndexedServer | None = None
-        for servers in (zone.owned, zone.others):
+    ) -> None:
+        """Add up to two servers with a free slot; remember one without for `wanted`."""
+        free_units = self._headroom.free_units
+        is_draining = self._drains.is_draining
+        excluded, until_s = request.excluded, request.until_s
+        choices = CHOICES
+        for servers in zone.groups:
             count = len(servers)
-            offset = int(rng.random() * count)
-            for step in range(min(count, PROBES_MAX)):
-                server = servers[(offset + step) % count]
-                if server.name in request.excluded:
+            index = int(rng.random() * count)
+            for server in servers[index:] + servers[:index] if index else servers:
+                if not ranked.probes or not choices:
+                    return
+                if server.name in excluded or is_draining("server", server.name):
                     continue
-                if self._drains.is_draining("server", server.name):
+                ranked.probes -= 1
+                resource = server.units.resource
+                slots = free_units(resource, until_s, now_s) if ranked.free_units else 0
+                if slots < 1 or not self._reserve.allows(request.size, resource, slots):
+                    if ranked.wanted is None:
+                        ranked.wanted = self._score_server(
+                            ranked.region, zone, server, reason, now_s, rng
+                        )
                     continue
-                if has_room and self._has_slot(server, request, now_s):
-                    yield server, True
-                    found += 1
-                    if found == CHOICES:
-                        return
-                elif full is None:
-                    full = server
-                    if not has_room:
-                        yield server, False
-                        return
-        if full is not None and not found:
-            yield full, False
+                choices -= 1
+                ranked.free.append(
+                    self._score_server(ranked.region, zone, server, reason, now_s, rng)
+                )
 
-    def _has_slot(self, server: IndexedServer, request: RouteRequest, now_s: float) -> bool:
-        resource = server.units.resource
-        slots = self._headroom.free_units(resource, request.until_s, now_s)
-        return self._reserve.allows(request.size, resource, slots)
+    def _score_server(
+        self,
+        region: IndexedRegion,
+        zone: IndexedZone,
+        server: IndexedServer,
+        reason: RankReason,
+        now_s: float,
+        rng: random.Random,
+    ) -> Candidate:
+        score_s, weight = self._observer.score(server.name, now_s)
+        score_s += 2 * zone.delay_s
+        if weight < 1.0 and rng.random() >= weight:
+            reason = RankReason.LOW_WEIGHT
+            score_s += LOW_WEIGHT_COST_S
+        return Candidate(server, region.plan_units, reason, score_s)
+
+    def _region_units(self, region: IndexedRegion, request: RouteRequest, now_s: float) -> int:
+        """Return the units free for the request in region and plan, 0 if reserved for short."""
+        free = self._headroom.free_units
+        region_free = free(region.units.resource, request.until_s, now_s)
+        if not self._reserve.allows(request.size, region.units.resource, region_free):
+            return 0
+        return min(region_free, free(region.plan_units.resource, request.until_s, now_s))
 
 
-def _score(candidate: Candidate) -> float:
-    return candidate.score_s
+_distance = operator.itemgetter(0, 1)
+_PREFERRED = RankReason.PREFERRED_REGION
+_score = operator.attrgetter("score_s")
 
 
 def _next_route(elsewhere: Sequence[Candidate], others: Sequence[_Ranked]) -> Route:
@@ -357,23 +355,3 @@
         return Route(RouteAction.DISPATCH, tuple(elsewhere), elsewhere[0])
     wanted = next((ranked.wanted for ranked in others if ranked.wanted), None)
     return Route(RouteAction.WAIT if wanted else RouteAction.NONE_ALLOWED, (), wanted)
-
-
-def _candidate(
-    server: IndexedServer,
-    zone: IndexedZone,
-    region: IndexedRegion,
-    reason: RankReason,
-    score_s: float,
-) -> Candidate:
-    return Candidate(
-        server.name,
-        server.address,
-        zone.name,
-        region.name,
-        (server.units, region.units, region.plan_units),
-        region.link_out,
-        region.link_back,
-        reason,
-        score_s,
-    )
--- a/berylchute/topology.py
+++ b/berylchute/topology.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from berylchute.config import Configuration
+from berylchute.config import BackendServer, Configuration
 from berylchute.types import ResourceId, ResourceUnits
 
 __all__ = ["IndexedRegion", "IndexedServer", "IndexedZone", "compile_index"]
@@ -15,87 +15,117 @@
 
 @attrs.frozen
 class IndexedServer:
+    """A backend server as seen from this host; links are empty within the host's region."""
+
     name: str
     address: str
+    availability_zone: str
+    region: str
     units: ResourceUnits
+    region_units: ResourceUnits
+    link_out: ResourceId
+    link_back: ResourceId
 
 
 @attrs.frozen
 class IndexedZone:
-    """Servers of one service in one zone; `owned` are those with a base share on this host."""
+    """Servers of one service in one zone; those with a base share on this host come first."""
 
     name: str
-    is_near: bool
     delay_s: float
-    owned: tuple[IndexedServer, ...]
-    others: tuple[IndexedServer, ...]
+    groups: tuple[tuple[IndexedServer, ...], ...]
 
 
 @attrs.frozen
 class IndexedRegion:
+    """A region that a plan may use for a service; `near_zones` holds the host's own zone."""
+
     name: str
     delay_s: float
     units: ResourceUnits
     plan_units: ResourceUnits
     link_out: ResourceId
     link_back: ResourceId
+    near_zones: tuple[IndexedZone, ...]
     zones: tuple[IndexedZone, ...]
 
 
+def _compile_server(server: BackendServer, region: str, host_region: str) -> IndexedServer:
+    is_home = region == host_region
+    return IndexedServer(
+        name=server.name,
+        address=server.address,
+        availability_zone=server.availability_zone,
+        region=region,
+        units=ResourceUnits(f"server:{server.name}", 1),
+        region_units=ResourceUnits(f"region:{region}", 1),
+        link_out="" if is_home else f"link:{host_region}:{region}",
+        link_back="" if is_home else f"link:{region}:{host_region}",
+    )
+
+
 def _compile_zones(
     configuration: Configuration,
     availability_zone: str,
+    host_region: str,
     base_units: Mapping[ResourceId, int],
 ) -> dict[tuple[str, str], list[IndexedZone]]:
-    """Return the zones of each (region, service), the host's own zone first."""
+    """Return the zones of each (region, service), sorted by name."""
     region_of = {zone.name: zone.region for zone in configuration.availability_zones}
     members: dict[tuple[str, str], tuple[list[IndexedServer], list[IndexedServer]]] = {}
     for server in configuration.backend_servers:
-        resource = f"server:{server.name}"
         groups = members.setdefault((server.availability_zone, server.service), ([], []))
-        compiled = IndexedServer(server.name, server.address, ResourceUnits(resource, 1))
-        groups[0 if base_units.get(resource, 0) else 1].append(compiled)
+        compiled = _compile_server(server, region_of[server.availability_zone], host_region)
+        groups[0 if base_units.get(compiled.units.resource, 0) else 1].append(compiled)
     zones: dict[tuple[str, str], list[IndexedZone]] = {}
-    for (zone_name, service), (owned, others) in members.items():
+    for (zone_name, service), groups in sorted(members.items()):
         is_near = zone_name == availability_zone
         delay_s = 0.0 if is_near else configuration.availability_zone_one_way_ms / 1000
-        zone = IndexedZone(zone_name, is_near, delay_s, tuple(owned), tuple(others))
+        compiled_groups = tuple(tuple(group) for group in groups if group)
+        zone = IndexedZone(zone_name, delay_s, compiled_groups)
         zones.setdefault((region_of[zone_name], service), []).append(zone)
-    for found in zones.values():
-        found.sort(key=lambda zone: (zone.delay_s, zone.name))
     return zones
 
 
+def _compile_delays(configuration: Configuration, host_region: str) -> dict[str, float]:
+    """Return the one-way delay in seconds from the host's region to each other."""
+    delays_s = {host_region: 0.0}
+    for distance in configuration.distances:
+        if distance.from_region == host_region:
+            delays_s[distance.to_region] = distance.one_way_ms / 1000
+        elif distance.to_region == host_region:
+            delays_s[distance.from_region] = distance.one_way_ms / 1000
+    return delays_s
+
+
 def compile_index(
     configuration: Configuration,
     availability_zone: str,
-    region: str,
+    host_region: str,
     base_units: Mapping[ResourceId, int],
 ) -> dict[tuple[str, str], tuple[IndexedRegion, ...]]:
     """Return the regions of each (plan, service) in order of distance."""
-    delays_s = {region: 0.0}
-    for distance in configuration.distances:
-        if region in (distance.from_region, distance.to_region):
-            other = distance.to_region if distance.from_region == region else distance.from_region
-            delays_s[other] = distance.one_way_ms / 1000
-    zones = _compile_zones(configuration, availability_zone, base_units)
+    delays_s = _compile_delays(configuration, host_region)
+    zones = _compile_zones(configuration, availability_zone, host_region, base_units)
     index: dict[tuple[str, str], list[IndexedRegion]] = {}
     for allowance in configuration.allowances:
         entries = index.setdefault((allowance.plan, allowance.service), [])
-        name = allowance.region
-        found = zones.get((name, allowance.service))
+        region = allowance.region
+        found = zones.get((region, allowance.service))
         if not found or allowance.concurrent < 1:
             continue
-        is_home = name == region
+        plan_resource = f"plan:{allowance.plan}:{region}:{allowance.service}"
+        is_home = region == host_region
         entries.append(
             IndexedRegion(
-                name=name,
-                delay_s=delays_s.get(name, UNKNOWN_DELAY_S),
-                units=ResourceUnits(f"region:{name}", 1),
-                plan_units=ResourceUnits(f"plan:{allowance.plan}:{name}:{allowance.service}", 1),
-                link_out="" if is_home else f"link:{region}:{name}",
-                link_back="" if is_home else f"link:{name}:{region}",
-                zones=tuple(found),
+                name=region,
+                delay_s=delays_s.get(region, UNKNOWN_DELAY_S),
+                units=ResourceUnits(f"region:{region}", 1),
+                plan_units=ResourceUnits(plan_resource, 1),
+                link_out="" if is_home else f"link:{host_region}:{region}",
+                link_back="" if is_home else f"link:{region}:{host_region}",
+                near_zones=tuple(zone for zone in found if zone.name == availability_zone),
+                zones=tuple(zone for zone in found if zone.name != availability_zone),
             )
         )
     return {
