--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,83 @@
+"""Guard against units that are counted twice, lost, or used past a deadline or an expiry."""
+
+from berylchute.ledger import Ledger
+from berylchute.types import CapacityLedger, ResourceUnits
+
+SLOT = "server:a"
+
+
+def wanted(units: int, resource: str = SLOT) -> list[ResourceUnits]:
+    return [ResourceUnits(resource, units)]
+
+
+def test_ledger_is_a_capacity_ledger() -> None:
+    """Guard against a signature that differs from the Protocol (checked by mypy)."""
+    ledger: CapacityLedger = Ledger({SLOT: 1})
+    assert ledger.free_units(SLOT, 1.0, 0.0) == 1
+
+
+def test_takes_all_or_none() -> None:
+    """Guard against units that leak when one resource of several is short."""
+    ledger = Ledger({SLOT: 2, "region:r": 1})
+    both = [ResourceUnits(SLOT, 1), ResourceUnits("region:r", 2)]
+    assert ledger.try_acquire(both, 1.0, 0.0) is None
+    assert ledger.try_acquire([*wanted(1), *wanted(2)], 1.0, 0.0) is None
+    assert ledger.free_units(SLOT, 1.0, 0.0) == 2
+
+
+def test_abandoned_units_stay_taken_until_the_deadline() -> None:
+    """Guard against a server that gets new work while a timed-out request still runs."""
+    ledger = Ledger({SLOT: 1})
+    hold = ledger.try_acquire(wanted(1), 5.0, 0.0)
+    assert hold is not None
+    ledger.abandon(hold)
+    assert ledger.free_units(SLOT, 9.0, 4.9) == 0
+    assert ledger.free_units(SLOT, 9.0, 5.0) == 1
+
+
+def test_late_or_repeated_release_gives_units_back_once() -> None:
+    """Guard against a release after the deadline that frees another request's unit."""
+    ledger = Ledger({SLOT: 1})
+    first = ledger.try_acquire(wanted(1), 1.0, 0.0)
+    second = ledger.try_acquire(wanted(1), 3.0, 2.0)
+    assert first is not None and second is not None
+    ledger.release(first)
+    assert ledger.free_units(SLOT, 9.0, 2.5) == 0
+    ledger.release(second)
+    ledger.release(second)
+    assert ledger.free_units(SLOT, 9.0, 2.5) == 1
+
+
+def test_borrowed_unit_needs_a_loan_that_outlasts_the_deadline() -> None:
+    """Guard against work on a borrowed unit after the lender took the unit back."""
+    ledger = Ledger({})
+    ledger.borrow("b.1.1", SLOT, 1, expires_s=4.0)
+    assert ledger.try_acquire(wanted(1), 4.1, 0.0) is None
+    assert ledger.try_acquire(wanted(1), 4.0, 0.0) is not None
+
+
+def test_lent_units_come_back_at_the_lender_s_time_only() -> None:
+    """Guard against a lender that uses lent units early."""
+    ledger = Ledger({SLOT: 3})
+    ledger.lend("b.1.1", SLOT, 2, back_s=10.0)
+    assert ledger.free_units(SLOT, 99.0, 9.9) == 1
+    assert ledger.free_units(SLOT, 99.0, 10.0) == 3
+
+
+def test_reserve_follows_recent_use_and_is_zero_when_idle() -> None:
+    """Guard against a lender that lends units it is about to need, or hoards idle ones."""
+    ledger = Ledger({SLOT: 4})
+    hold = ledger.try_acquire(wanted(3), 9.0, 0.0)
+    assert hold is not None
+    ledger.release(hold)
+    assert ledger.lendable(SLOT, 0.1) == 1
+    assert ledger.lendable(SLOT, 1.0) == 4
+
+
+def test_a_host_in_need_does_not_lend() -> None:
+    """Guard against two busy hosts that pass the same unit back and forth."""
+    ledger = Ledger({SLOT: 2})
+    ledger.note_demand(wanted(3), 2.0, 0.0)
+    assert [d.units for d in ledger.take_demand(0.0)] == [1]
+    assert ledger.lendable(SLOT, 0.1) == 0
+    assert ledger.lendable(SLOT, 0.6) == 2
