--- a/berylchute/config.py
+++ b/berylchute/config.py
@@ -169,6 +169,8 @@
     client_blocks: tuple[ClientBlock, ...] = ()
     deployment: str = ""
     edit_id: str = ""
+    edit_author: str = ""
+    edit_time: str = ""
     generation: int = 0
 
     def region_of(self, availability_zone: str) -> str:
--- /dev/null
+++ b/berylchute/hostclient.py
@@ -0,0 +1,119 @@
+"""Reach the operators' paths of entry hosts over HTTP."""
+
+import ssl
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import attrs
+import httpcore
+import msgspec
+
+from berylchute.exceptions import CommandError
+from berylchute.types import StoredObject
+
+__all__ = ["HostAnswer", "HostClient", "HostUnreachable"]
+
+PUSH_HOSTS = 2
+
+
+class HostUnreachable(CommandError):
+    """Report that no entry host answered."""
+
+    code = "host_unreachable"
+
+
+@attrs.frozen
+class HostAnswer:
+    """The JSON answer of one entry host."""
+
+    url: str
+    status: int
+    body: Any
+
+
+class HostClient:
+    """Ask entry hosts in order; every call has a timeout in seconds."""
+
+    def __init__(
+        self, urls: Sequence[str], token: str, timeout_s: float, ca_file: str = ""
+    ) -> None:
+        """Keep base URLs such as `http://127.0.0.1:8080` and the operator's bearer token."""
+        context = ssl.create_default_context()
+        if ca_file:
+            context.load_verify_locations(cadata=Path(ca_file).read_text(encoding="ascii"))
+        self._urls = tuple(urls)
+        self._headers = [("Authorization", f"Bearer {token}")]
+        self._extensions = {
+            "timeout": dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
+        }
+        self._pool = httpcore.AsyncConnectionPool(ssl_context=context)
+
+    @property
+    def urls(self) -> tuple[str, ...]:
+        """Return the configured base URLs."""
+        return self._urls
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def get(self, url: str, path: str) -> HostAnswer:
+        """Return one host's answer; raise HostUnreachable."""
+        return await self._request("GET", url, path, [], b"")
+
+    async def get_any(self, path: str) -> HostAnswer:
+        """Return the first answer of any host; raise HostUnreachable when none answers."""
+        errors = []
+        for url in self._urls:
+            try:
+                return await self.get(url, path)
+            except HostUnreachable as error:
+                errors.append(str(error))
+        raise HostUnreachable("; ".join(errors) or "no entry host is configured")
+
+    async def get_all(self, path: str) -> list[HostAnswer]:
+        """Return the answers of all hosts that answer."""
+        answers = []
+        for url in self._urls:
+            try:
+                answers.append(await self.get(url, path))
+            except HostUnreachable:
+                continue
+        return answers
+
+    async def push(self, stored: StoredObject) -> int:
+        """Send an accepted object to entry hosts until two took it; return how many did."""
+        taken = 0
+        headers = [("Berylchute-Version", str(stored.version))]
+        for url in self._urls:
+            try:
+                path = f"/berylchute/v1/objects/{stored.key}"
+                answer = await self._request("PUT", url, path, headers, stored.value)
+            except HostUnreachable:
+                continue
+            taken += answer.status < 300
+            if taken == PUSH_HOSTS:
+                break
+        return taken
+
+    async def _request(
+        self, method: str, url: str, path: str, headers: list[tuple[str, str]], body: bytes
+    ) -> HostAnswer:
+        try:
+            response = await self._pool.request(
+                method,
+                url.rstrip("/") + path,
+                headers=[*self._headers, *headers],
+                content=body,
+                extensions=self._extensions,
+            )
+        except (OSError, httpcore.NetworkError, httpcore.TimeoutException) as error:
+            raise HostUnreachable(f"{url}: {type(error).__name__} {error}".strip()) from error
+        except httpcore.ProtocolError as error:
+            raise HostUnreachable(f"{url}: {error}") from error
+        try:
+            decoded = msgspec.json.decode(response.content) if response.content else None
+        except msgspec.DecodeError as error:
+            raise HostUnreachable(f"{url}{path}: answer is not JSON: {error}") from error
+        return HostAnswer(url, response.status, decoded)
