--- /dev/null
+++ b/berylchute/impact.py
@@ -0,0 +1,70 @@
+"""Compute what a change would do to headroom before it is made."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from berylchute.config import Configuration
+
+__all__ = ["HeadroomChange", "changed_headroom", "slots_by_place", "without_target"]
+
+
+@attrs.frozen
+class HeadroomChange:
+    """Slots of a service in a region before and after a change, and slots in use now."""
+
+    region: str
+    service: str
+    slots_before: int
+    slots_after: int
+    in_use: int
+
+    @property
+    def free_after(self) -> int:
+        """Return free slots after the change; negative when the change takes too much."""
+        return self.slots_after - self.in_use
+
+
+def slots_by_place(document: Configuration) -> Counter[tuple[str, str]]:
+    """Return slots by region and service."""
+    region_of = {zone.name: zone.region for zone in document.availability_zones}
+    slots: Counter[tuple[str, str]] = Counter()
+    for server in document.backend_servers:
+        slots[region_of[server.availability_zone], server.service] += server.slots
+    return slots
+
+
+def without_target(document: Configuration, target: str, name: str) -> Configuration:
+    """Return the document as it is while a server, availability zone or region is drained."""
+    region_of = {zone.name: zone.region for zone in document.availability_zones}
+
+    def stays(server_name: str, zone: str) -> bool:
+        places = {"server": server_name, "availability_zone": zone, "region": region_of[zone]}
+        return places.get(target) != name
+
+    kept = [
+        server
+        for server in document.backend_servers
+        if stays(server.name, server.availability_zone)
+    ]
+    return attrs.evolve(document, backend_servers=tuple(kept))
+
+
+def changed_headroom(
+    before: Configuration, after: Configuration, in_use_by_server: Mapping[str, int]
+) -> list[HeadroomChange]:
+    """Return one row a region and service whose slots change."""
+    region_of = {zone.name: zone.region for zone in before.availability_zones}
+    in_use: Counter[tuple[str, str]] = Counter()
+    for server in before.backend_servers:
+        place = (region_of[server.availability_zone], server.service)
+        in_use[place] += in_use_by_server.get(server.name, 0)
+    old, new = slots_by_place(before), slots_by_place(after)
+    places: Iterable[tuple[str, str]] = sorted({*old, *new})
+    return [
+        HeadroomChange(region, service, old[region, service], new[region, service], in_use[place])
+        for place in places
+        for region, service in [place]
+        if old[place] != new[place]
+    ]
--- /dev/null
+++ b/tests/test_impact.py
@@ -0,0 +1,16 @@
+"""Check the effect of changes on headroom."""
+
+from test_validation import load_example
+
+from berylchute import impact
+
+
+def test_drained_zone_takes_its_slots_only() -> None:
+    """Guards against a dry run that shows the wrong place or amount."""
+    before = load_example()
+    after = impact.without_target(before, "availability_zone", "xela-a")
+    rows = impact.changed_headroom(before, after, {"saldo-01": 9, "saldo-02": 5})
+    saldo = next(row for row in rows if row.service == "saldo")
+    assert {row.region for row in rows} == {"occidente"}
+    assert saldo.slots_before - saldo.slots_after == 4 * 9
+    assert saldo.free_after == saldo.slots_after - 14
