--- /dev/null
+++ b/berylchute/rendering.py
@@ -0,0 +1,73 @@
+"""Render results of operators' commands as tables for people or JSON for programs."""
+
+import sys
+from collections.abc import Mapping, Sequence
+from enum import StrEnum
+from typing import Any
+
+import attrs
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+__all__ = ["Output", "Renderer"]
+
+
+class Output(StrEnum):
+    """Form of a command's result."""
+
+    TABLE = "table"
+    JSON = "json"
+
+
+class Renderer:
+    """Write results to standard output, progress and errors to standard error."""
+
+    def __init__(self, output: Output) -> None:
+        """Choose the form of results."""
+        self._output = output
+        # Fixed width keeps rows on one line when output goes to a file or pipe.
+        width = None if sys.stdout.isatty() else 200
+        self._console = Console(width=width, highlight=False)
+        self._errors = Console(stderr=True, width=width, highlight=False)
+
+    def rows(self, title: str, rows: Sequence[Any]) -> None:
+        """Write attrs objects or mappings, one a row."""
+        plain = [row if isinstance(row, Mapping) else attrs.asdict(row) for row in rows]
+        if self._output is Output.JSON:
+            self._write_json(plain)
+            return
+        if not plain:
+            self._console.print(f"{title}: none")
+            return
+        table = Table(title=title, title_justify="left", box=None, pad_edge=False)
+        for column in plain[0]:
+            table.add_column(column.replace("_", " "), overflow="fold")
+        for row in plain:
+            table.add_row(*(str(value) for value in row.values()))
+        self._console.print(table)
+
+    def record(self, title: str, record: Any) -> None:
+        """Write one attrs object or mapping, one field a line."""
+        plain = record if isinstance(record, Mapping) else attrs.asdict(record)
+        if self._output is Output.JSON:
+            self._write_json(plain)
+            return
+        self._console.print(title, markup=False)
+        for name, value in plain.items():
+            self._console.print(f"  {name.replace('_', ' ')}: {value}", markup=False)
+
+    def text(self, text: str) -> None:
+        """Write text as it is."""
+        sys.stdout.write(text)
+
+    def progress(self, text: str) -> None:
+        """Write a line of progress."""
+        self._errors.print(text, markup=False)
+
+    def error(self, text: str) -> None:
+        """Write an error line."""
+        self._errors.print(text, markup=False, soft_wrap=True)
+
+    def _write_json(self, value: Any) -> None:
+        sys.stdout.write(msgspec.json.encode(value).decode() + "\n")
--- a/berylchute/settings.py
+++ b/berylchute/settings.py
@@ -2,14 +2,17 @@
 
 import tomllib
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import attrs
 import msgspec
 
 from berylchute.exceptions import SettingsError
 
-__all__ = ["Settings", "load"]
+__all__ = ["ClientSettings", "Settings", "load", "load_client"]
+
+
+T = TypeVar("T")
 
 
 @attrs.frozen
@@ -106,11 +109,39 @@
             _check_keys(value, known[key], f"{path}{key}.")
 
 
-def load(path: Path) -> Settings:
-    """Return the settings in a TOML file; raise SettingsError with file, key and reason."""
+@attrs.frozen
+class ClientHostsSettings:
+    """Entry hosts that an operator's command reaches, by base URL, and the operator's token."""
+
+    urls: tuple[str, ...] = ()
+    token: str = ""
+    timeout_ms: int = 2000
+    ca_file: str = ""
+
+
+@attrs.frozen
+class ClientSettings:
+    """All settings of the operators' command line."""
+
+    store: StoreSettings
+    hosts: ClientHostsSettings = ClientHostsSettings()
+    author: str = ""
+
+
+def _load(path: Path, kind: type[T]) -> T:
     try:
         raw = tomllib.loads(path.read_text(encoding="utf-8"))
-        _check_keys(raw, Settings, "")
-        return msgspec.convert(raw, Settings)
+        _check_keys(raw, kind, "")
+        return msgspec.convert(raw, kind)
     except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError, SettingsError) as error:
         raise SettingsError(f"{path}: {error}") from error
+
+
+def load(path: Path) -> Settings:
+    """Return a process's settings; raise SettingsError with file, key and reason."""
+    return _load(path, Settings)
+
+
+def load_client(path: Path) -> ClientSettings:
+    """Return the command line's settings; raise SettingsError with file, key and reason."""
+    return _load(path, ClientSettings)
