--- a/berylchute/exceptions.py
+++ b/berylchute/exceptions.py
@@ -54,10 +54,18 @@
 
 
 class StoreConflict(StoreError):
-    """Report a conditional write whose expected version is not the current one."""
+    """Report a conditional write whose expected version is not the current one.
+
+    `current_version` (0: the object does not exist) and `current_value` are what the store holds.
+    """
 
     code = "store_conflict"
 
+    def __init__(self, message: str, current_version: int = 0, current_value: bytes = b"") -> None:
+        super().__init__(message)
+        self.current_version = current_version
+        self.current_value = current_value
+
 
 class PeerError(BerylchuteError):
     """Report a message from or to a peer that cannot be handled."""
--- a/berylchute/messages.py
+++ b/berylchute/messages.py
@@ -15,6 +15,7 @@
     "LoanRecall",
     "LoanRequest",
     "LoanReturn",
+    "MemberPull",
     "MemberRecord",
     "MemberUpdate",
     "Message",
@@ -57,11 +58,24 @@
 
 @attrs.frozen
 class MemberUpdate:
-    """Records relayed on behalf of other members; `ages_ms` is the silence so far of each."""
+    """Records relayed on behalf of other members; `ages_ms` is the silence so far of each.
+
+    `zone_beats` counts the rounds of each zone's relays, `zone_ages_ms` is the time since then.
+    """
 
     sender: str
     records: tuple[MemberRecord, ...]
     ages_ms: tuple[int, ...]
+    zone_beats: Mapping[str, int] = attrs.field(factory=dict)
+    zone_ages_ms: Mapping[str, int] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class MemberPull:
+    """Ask for all records of one availability zone, or of the fleet when it is empty."""
+
+    sender_address: str
+    availability_zone: str = ""
 
 
 @attrs.frozen
@@ -142,6 +156,7 @@
 Message: TypeAlias = (
     Heartbeat
     | MemberUpdate
+    | MemberPull
     | ObjectDigest
     | ObjectPull
     | ObjectPush
@@ -156,6 +171,7 @@
     for kind in (
         Heartbeat,
         MemberUpdate,
+        MemberPull,
         ObjectDigest,
         ObjectPull,
         ObjectPush,
--- /dev/null
+++ b/berylchute/node.py
@@ -0,0 +1,340 @@
+"""Run the node tasks of a process: store watch, object replica, membership and peers."""
+
+import logging
+import time
+from collections.abc import Mapping, Sequence
+from random import Random
+from typing import Literal, TypeVar
+
+import anyio
+import attrs
+from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+
+from berylchute.config import Configuration, decode_json
+from berylchute.exceptions import ConfigError, StoreError
+from berylchute.membership import Membership, Outgoing
+from berylchute.messages import (
+    Heartbeat,
+    MemberPull,
+    MemberRecord,
+    MemberUpdate,
+    Message,
+    ObjectDigest,
+    ObjectPull,
+    ObjectPush,
+)
+from berylchute.objects import ObjectReplica
+from berylchute.peers import PeerCounters, Peers
+from berylchute.settings import Settings
+from berylchute.store import Backoff, HttpObjectStore
+from berylchute.types import Clock, MemberView, ObjectStore, PeerSender, StoredObject
+
+__all__ = ["ConfigurationInForce", "MonotonicClock", "Node"]
+
+_LOG = logging.getLogger(__name__)
+_Item = TypeVar("_Item")
+
+OBJECT_BUFFER = 64
+MESSAGE_BUFFER = 1024
+# How long a fresh process waits for peers' newer configuration before it counts as ready.
+PEER_ANSWER_S = 2.0
+WATCH_PAUSE_S = 0.1  # bounds the calls that a burst of edits causes
+RELAY_CHECK_S = 0.5
+HOSTS_MAX_AGE_S = 5.0
+
+
+class MonotonicClock:
+    """Tell the monotonic time of this machine."""
+
+    def now_s(self) -> float:
+        """Return monotonic seconds."""
+        return time.monotonic()
+
+
+@attrs.frozen
+class ConfigurationInForce:
+    """The configuration document that this process applies, and its store version."""
+
+    version: int
+    configuration: Configuration
+
+
+@attrs.frozen
+class _ObjectSubscription:
+    keys: tuple[str, ...]
+    stream: MemoryObjectSendStream[StoredObject]
+
+
+class Node:
+    """Hold the state that processes share, and the tasks that keep it current.
+
+    All methods must be called in the event loop that runs `run`.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        role: Literal["entry", "locator"],
+        *,
+        store: ObjectStore | None = None,
+        clock: Clock | None = None,
+        rng: Random | None = None,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock or MonotonicClock()
+        self._rng = rng or Random()
+        self._started_s = self._clock.now_s()
+        self._store = store or HttpObjectStore(settings.store, self._clock, self._rng)
+        self._objects = ObjectReplica()
+        self._in_force: ConfigurationInForce | None = None
+        self._object_subscriptions: list[_ObjectSubscription] = []
+        self._message_subscriptions: dict[type, list[MemoryObjectSendStream[Message]]] = {}
+        self._hosts: Mapping[str, str] = {}
+        self._hosts_read_s = float("-inf")
+        self._hosts_lock = anyio.Lock()
+        self._wake = anyio.Event()
+        self._store_answered = False
+        self._peers = Peers(settings.listen.peers, settings.peers, self._clock, self._receive)
+        self._membership = Membership(
+            _first_record(settings, role), settings.peers.seeds, self._rng, self._started_s
+        )
+        self.dropped_messages = 0
+
+    @property
+    def store(self) -> ObjectStore:
+        """Return the object store, for conditional updates."""
+        return self._store
+
+    @property
+    def clock(self) -> Clock:
+        """Return the clock that all times of this node refer to."""
+        return self._clock
+
+    @property
+    def members(self) -> MemberView:
+        """Return the view of all members."""
+        return self._membership
+
+    @property
+    def peers(self) -> PeerSender:
+        """Return the sender of messages to peers."""
+        return self._peers
+
+    @property
+    def peer_counters(self) -> PeerCounters:
+        """Return message and byte counts of the peer sockets."""
+        return self._peers.counters
+
+    @property
+    def objects(self) -> ObjectReplica:
+        """Return the replica of the store's objects, for reading."""
+        return self._objects
+
+    @property
+    def record(self) -> MemberRecord:
+        """Return what this process says of itself."""
+        return self._membership.record
+
+    @property
+    def in_force(self) -> ConfigurationInForce | None:
+        """Return the configuration in force; None until one arrived."""
+        return self._in_force
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether a configuration is in force that no asked peer is known to exceed.
+
+        A store may answer with an old version, so that a fresh process also waits for a peer's
+        answer, at most PEER_ANSWER_S.
+        """
+        if self._in_force is None:
+            return False
+        waited_s = self._clock.now_s() - self._started_s
+        return (self._membership.is_joined and self._store_answered) or waited_s >= PEER_ANSWER_S
+
+    def subscribe_objects(self, *keys: str) -> MemoryObjectReceiveStream[StoredObject]:
+        """Return a stream of objects as they change, beginning with those already held.
+
+        A full buffer drops the object; the receiver reads the newest from `objects` on each item.
+        """
+        send, receive = anyio.create_memory_object_stream[StoredObject](OBJECT_BUFFER)
+        self._object_subscriptions.append(_ObjectSubscription(keys, send))
+        for key in keys:
+            held = self._objects.get(key)
+            if held is not None:
+                send.send_nowait(held)
+        return receive
+
+    def subscribe_messages(self, *kinds: type) -> MemoryObjectReceiveStream[Message]:
+        """Return a stream of the messages of these types; a full buffer drops and counts."""
+        send, receive = anyio.create_memory_object_stream[Message](MESSAGE_BUFFER)
+        for kind in kinds:
+            self._message_subscriptions.setdefault(kind, []).append(send)
+        return receive
+
+    def receive_object(self, stored: StoredObject) -> bool:
+        """Take an object that an operator or the store handed over; tell whether it is newer."""
+        if not self._objects.apply(stored.key, stored.version, stored.value):
+            return False
+        if stored.key == "config":
+            self._put_in_force(stored)
+        self._membership.set_digest(self._objects.digest())
+        for subscription in self._object_subscriptions:
+            if stored.key in subscription.keys:
+                self._offer(subscription.stream, stored)
+        digest = self._own_digest()
+        for address in self._membership.digest_targets():
+            self._peers.send(address, digest)
+        return True
+
+    def set_headroom(self, free_units: Mapping[str, int]) -> None:
+        """Set the free units per service that heartbeats report."""
+        self._change(attrs.evolve(self.record, free_units=dict(free_units)))
+
+    def set_settled_version(self, version: int) -> None:
+        """Set the configuration version that this host's use and loans fit."""
+        self._change(attrs.evolve(self.record, settled_version=version))
+
+    def set_owner_epoch(self, epoch: int) -> None:
+        """Set the epoch of this process's owner tokens."""
+        self._change(attrs.evolve(self.record, owner_epoch=epoch))
+
+    def set_ready(self, ready: bool) -> None:
+        """Set whether callers may be sent here."""
+        self._change(attrs.evolve(self.record, ready=ready))
+
+    def announce_leaving(self) -> None:
+        """Tell all peers at once that this process leaves."""
+        self._send(self._membership.leave(self._clock.now_s()))
+
+    async def list_platform_hosts(self, max_age_s: float = HOSTS_MAX_AGE_S) -> Mapping[str, str]:
+        """Return the platform's list of hosts, at most `max_age_s` old; raise StoreError.
+
+        It is read only on demand, so that it costs no store calls in steady state.
+        """
+        async with self._hosts_lock:
+            if self._clock.now_s() - self._hosts_read_s > max_age_s:
+                self._hosts = await self._store.list_hosts()
+                self._hosts_read_s = self._clock.now_s()
+            return self._hosts
+
+    async def run(
+        self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run all node tasks until cancelled; raise PeerError if the sockets cannot be opened."""
+        async with anyio.create_task_group() as group:
+            await group.start(self._peers.run)
+            group.start_soon(self._tick_forever)
+            group.start_soon(self._watch_forever)
+            task_status.started()
+
+    def _change(self, record: MemberRecord) -> None:
+        self._membership.change_record(record)
+        self._wake.set()
+
+    def _own_digest(self) -> ObjectDigest:
+        return ObjectDigest(
+            sender_address=self._settings.listen.peers, versions=self._objects.digest()
+        )
+
+    def _put_in_force(self, stored: StoredObject) -> None:
+        try:
+            configuration = decode_json(stored.value)
+        except ConfigError as error:
+            # The last good document stays in force; the replica still passes this one on.
+            _LOG.error("config version %d cannot be decoded: %s", stored.version, error)
+            return
+        self._in_force = ConfigurationInForce(stored.version, configuration)
+        self._change(attrs.evolve(self.record, config_version=stored.version))
+
+    def _offer(self, stream: MemoryObjectSendStream[_Item], item: _Item) -> None:
+        try:
+            stream.send_nowait(item)
+        except (anyio.WouldBlock, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            self.dropped_messages += 1
+
+    def _send(self, messages: Sequence[Outgoing]) -> None:
+        for outgoing in messages:
+            self._peers.send(outgoing.address, outgoing.message)
+
+    def _receive(self, message: Message) -> None:
+        """Handle one message; called by the task that owns the sockets."""
+        now_s = self._clock.now_s()
+        if isinstance(message, Heartbeat | MemberUpdate | MemberPull):
+            self._send(self._membership.handle(message, now_s))
+        if isinstance(message, Heartbeat):
+            self._compare(message.digest, message.record.peer_address)
+        elif isinstance(message, ObjectDigest):
+            self._compare(message.versions, message.sender_address)
+        elif isinstance(message, ObjectPull):
+            for push in self._objects.select(message.keys):
+                self._peers.send(message.sender_address, push)
+        elif isinstance(message, ObjectPush):
+            self.receive_object(StoredObject(message.key, message.version, message.value))
+        for stream in self._message_subscriptions.get(type(message), ()):
+            self._offer(stream, message)
+
+    def _compare(self, versions: Mapping[str, int], address: str) -> None:
+        """Pull what a peer has newer, or tell it what it lacks."""
+        if self._objects.is_behind(versions):
+            keys = self._objects.start_pull(versions, self._clock.now_s())
+            if keys:
+                pull = ObjectPull(sender_address=self._settings.listen.peers, keys=keys)
+                self._peers.send(address, pull)
+        elif versions != self._objects.digest():
+            self._peers.send(address, self._own_digest())
+
+    async def _tick_forever(self) -> None:
+        while True:
+            now_s = self._clock.now_s()
+            self._send(self._membership.tick(now_s))
+            self._wake = anyio.Event()
+            with anyio.move_on_after(max(0.0, self._membership.next_due_s - now_s)):
+                await self._wake.wait()
+
+    async def _watch_forever(self) -> None:
+        """Read the store once, then keep a watch open while this process is a relay."""
+        backoff = Backoff(0.2, self._settings.store.watch_wait_ms / 1000.0, self._rng)
+        while True:
+            if self._store_answered and not self._membership.is_relay:
+                await anyio.sleep(RELAY_CHECK_S)
+                continue
+            wait_s = self._settings.store.watch_wait_ms / 1000.0 if self._store_answered else 0.0
+            try:
+                # `revision` of an answer is not used: after a stale answer it could pass over
+                # an object that was not in it.
+                event = await self._store.watch(self._objects.highest_version(), wait_s)
+            except StoreError as error:
+                delay_s = backoff.next_delay_s()
+                _LOG.warning("store watch failed, next try in %.1f s: %s", delay_s, error)
+                await anyio.sleep(delay_s)
+                continue
+            self._store_answered = True
+            applied = [self.receive_object(stored) for stored in event.objects]
+            if event.objects and not any(applied):
+                # An old answer comes back at once every time; this bounds the repeats.
+                await anyio.sleep(backoff.next_delay_s())
+                continue
+            backoff.reset()
+            await anyio.sleep(WATCH_PAUSE_S)
+
+
+def _first_record(settings: Settings, role: str) -> MemberRecord:
+    scheme = "https" if settings.tls.certificate_file else "http"
+    return MemberRecord(
+        host_id=settings.host.host_id,
+        position=settings.host.position,
+        availability_zone=settings.host.availability_zone,
+        region=settings.host.region,
+        role=role,
+        incarnation=time.time_ns() // 1_000_000,
+        sequence=0,
+        leaving=False,
+        ready=False,
+        http_url=f"{scheme}://{settings.listen.http}",
+        peer_address=settings.listen.peers,
+        owner_epoch=0,
+        settled_version=0,
+        config_version=0,
+        free_units={},
+    )
--- /dev/null
+++ b/berylchute/objects.py
@@ -0,0 +1,92 @@
+"""Replicate store objects: the highest version of each key wins."""
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from berylchute.messages import ObjectPush
+from berylchute.types import StoredObject
+
+__all__ = ["OBJECT_KEYS", "VALUE_BYTES_MAX", "ObjectReplica"]
+
+OBJECT_KEYS = ("config", "history", "drains", "shifts", "claims")
+VALUE_BYTES_MAX = 1_000_000  # the store refuses larger values
+
+# A peer that does not answer within this time is passed over for the next digest's sender.
+PULL_RETRY_S = 0.5
+
+
+@attrs.frozen
+class _Pull:
+    version: int
+    asked_s: float
+
+
+class ObjectReplica:
+    """Hold the newest known version of each store object."""
+
+    def __init__(self) -> None:
+        self._objects: dict[str, StoredObject] = {}
+        self._digest: Mapping[str, int] = {}
+        self._pulls: dict[str, _Pull] = {}
+
+    def get(self, key: str) -> StoredObject | None:
+        """Return the newest known object of a key."""
+        return self._objects.get(key)
+
+    def version(self, key: str) -> int:
+        """Return the newest known version of a key; 0 when there is none."""
+        return self._digest.get(key, 0)
+
+    def highest_version(self) -> int:
+        """Return the highest version over all keys; 0 when empty."""
+        return max(self._digest.values(), default=0)
+
+    def digest(self) -> Mapping[str, int]:
+        """Return the version of each key; the mapping is replaced, never changed."""
+        return self._digest
+
+    def apply(self, key: str, version: int, value: bytes) -> bool:
+        """Take an object if its version is higher than the known one; tell whether it was."""
+        if key not in OBJECT_KEYS or len(value) > VALUE_BYTES_MAX:
+            return False
+        if version <= self.version(key):
+            return False
+        self._objects[key] = StoredObject(key=key, version=version, value=value)
+        self._digest = {**self._digest, key: version}
+        pull = self._pulls.get(key)
+        if pull is not None and pull.version <= version:
+            del self._pulls[key]
+        return True
+
+    def start_pull(self, versions: Mapping[str, int], now_s: float) -> tuple[str, ...]:
+        """Return the keys to ask a peer with these versions for, and note them as asked.
+
+        A key that another peer is being asked for is left out, so that a digest from every peer
+        does not fetch the same value from every peer.
+        """
+        wanted = []
+        for key, version in versions.items():
+            if key not in OBJECT_KEYS or version <= self.version(key):
+                continue
+            pull = self._pulls.get(key)
+            if pull and pull.version >= version and now_s - pull.asked_s < PULL_RETRY_S:
+                continue
+            self._pulls[key] = _Pull(version=version, asked_s=now_s)
+            wanted.append(key)
+        return tuple(wanted)
+
+    def is_behind(self, versions: Mapping[str, int]) -> bool:
+        """Tell whether a peer with these versions holds something newer."""
+        return any(
+            version > self.version(key) for key, version in versions.items() if key in OBJECT_KEYS
+        )
+
+    def select(self, keys: Iterable[str]) -> tuple[ObjectPush, ...]:
+        """Return the known objects among `keys` as messages."""
+        found = (self._objects.get(key) for key in dict.fromkeys(keys))
+        return tuple(
+            ObjectPush(key=item.key, version=item.version, value=item.value)
+            for item in found
+            if item is not None
+        )
--- /dev/null
+++ b/berylchute/peers.py
@@ -0,0 +1,207 @@
+"""Exchange messages with peers over ZeroMQ sockets that one task owns."""
+
+import logging
+from collections import deque
+from collections.abc import Callable
+
+import anyio
+import attrs
+import zmq
+import zmq.asyncio
+from zmq.auth.asyncio import AsyncioAuthenticator
+
+from berylchute.exceptions import PeerError
+from berylchute.messages import Message, decode, encode
+from berylchute.settings import PeersSettings
+from berylchute.types import Clock
+
+__all__ = ["PeerCounters", "Peers"]
+
+_LOG = logging.getLogger(__name__)
+
+SEND_QUEUE_MAX = 4096
+# Messages to one unreachable peer; all are repeated by protocol, so that older ones have no use.
+PEER_QUEUE_MAX = 256
+MESSAGE_BYTES_MAX = 2_000_000  # an object of 1 MB with room for its frame
+# Relays gossip with random peers; unused connections are closed to bound descriptors.
+IDLE_CLOSE_S = 60.0
+RECEIVE_BATCH = 64
+LINGER_MS = 500
+
+
+@attrs.define
+class PeerCounters:
+    """Count messages and bytes since start, and why messages were dropped."""
+
+    sent_messages: int = 0
+    sent_bytes: int = 0
+    received_messages: int = 0
+    received_bytes: int = 0
+    dropped_queue_full: int = 0
+    dropped_peer_full: int = 0
+    dropped_invalid: int = 0
+
+
+@attrs.define
+class _Queued:
+    address: str
+    frames: list[bytes]
+
+
+@attrs.define
+class _Dealer:
+    socket: zmq.Socket[bytes]
+    used_s: float
+
+
+class Peers:
+    """Send to and receive from peers; implements PeerSender."""
+
+    def __init__(
+        self,
+        listen: str,
+        settings: PeersSettings,
+        clock: Clock,
+        receive: Callable[[Message], None],
+    ) -> None:
+        self._listen = listen
+        self._settings = settings
+        self._clock = clock
+        self._receive = receive
+        self._queue: deque[_Queued] = deque()
+        self._wake = anyio.Event()
+        self._dealers: dict[str, _Dealer] = {}
+        self._last: tuple[Message, list[bytes]] | None = None
+        self.counters = PeerCounters()
+
+    def send(self, address: str, message: Message) -> None:
+        """Queue one message for the peer at `ip:port`; drop and count it if the queue is full."""
+        if len(self._queue) >= SEND_QUEUE_MAX:
+            self.counters.dropped_queue_full += 1
+            return
+        # One message often goes to many peers in a row; it is encoded once.
+        if self._last is None or self._last[0] is not message:
+            self._last = (message, encode(message))
+        self._queue.append(_Queued(address, self._last[1]))
+        self._wake.set()
+
+    async def run(
+        self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Own the sockets until cancelled; raise PeerError if the address cannot be bound."""
+        context = zmq.asyncio.Context()
+        authenticator = self._start_authenticator(context)
+        try:
+            router = self._bind(context)
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._receive_all, router)
+                task_status.started()
+                await self._send_all(zmq.Context(context))
+        finally:
+            with anyio.CancelScope(shield=True):
+                self._flush(zmq.Context(context))
+                for dealer in self._dealers.values():
+                    dealer.socket.close(linger=LINGER_MS)
+                self._dealers.clear()
+                if authenticator is not None:
+                    authenticator.stop()
+                context.destroy(linger=LINGER_MS)
+
+    def _start_authenticator(self, context: zmq.asyncio.Context) -> AsyncioAuthenticator | None:
+        if not self._settings.curve_secret_key:
+            return None
+        authenticator = AsyncioAuthenticator(context)
+        authenticator.start()
+        authenticator.configure_curve_callback(credentials_provider=self)
+        return authenticator
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Accept only peers with the fleet's CURVE keys; called by the authenticator."""
+        return key.decode() in (self._settings.curve_public_key, self._settings.curve_server_key)
+
+    def _bind(self, context: zmq.asyncio.Context) -> zmq.asyncio.Socket:
+        router = context.socket(zmq.ROUTER)
+        router.setsockopt(zmq.MAXMSGSIZE, MESSAGE_BYTES_MAX)
+        router.setsockopt(zmq.RCVHWM, PEER_QUEUE_MAX)
+        router.setsockopt(zmq.LINGER, 0)
+        self._set_keepalive(router)
+        if self._settings.curve_secret_key:
+            router.curve_secretkey = self._settings.curve_secret_key.encode()
+            router.curve_publickey = self._settings.curve_public_key.encode()
+            router.curve_server = True
+        try:
+            router.bind(f"tcp://{self._listen}")
+        except zmq.ZMQError as error:
+            raise PeerError(f"cannot listen for peers on {self._listen}: {error}") from error
+        return router
+
+    def _set_keepalive(self, socket: zmq.Socket[bytes] | zmq.asyncio.Socket) -> None:
+        # ZMTP pings find a peer host that vanished without closing its connections.
+        socket.setsockopt(zmq.HEARTBEAT_IVL, 2000)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, 4000)
+
+    def _connect(self, context: zmq.Context[zmq.Socket[bytes]], address: str) -> _Dealer:
+        socket = context.socket(zmq.DEALER)
+        socket.setsockopt(zmq.SNDHWM, PEER_QUEUE_MAX)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.RECONNECT_IVL, 100)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, 1000)
+        self._set_keepalive(socket)
+        if self._settings.curve_secret_key:
+            server_key = self._settings.curve_server_key or self._settings.curve_public_key
+            socket.curve_secretkey = self._settings.curve_secret_key.encode()
+            socket.curve_publickey = self._settings.curve_public_key.encode()
+            socket.curve_serverkey = server_key.encode()
+        socket.connect(f"tcp://{address}")
+        dealer = _Dealer(socket, self._clock.now_s())
+        self._dealers[address] = dealer
+        return dealer
+
+    async def _send_all(self, context: zmq.Context[zmq.Socket[bytes]]) -> None:
+        while True:
+            self._flush(context)
+            self._close_idle()
+            self._wake = anyio.Event()
+            if not self._queue:
+                with anyio.move_on_after(IDLE_CLOSE_S / 4):
+                    await self._wake.wait()
+
+    def _flush(self, context: zmq.Context[zmq.Socket[bytes]]) -> None:
+        while self._queue:
+            queued = self._queue.popleft()
+            try:
+                dealer = self._dealers.get(queued.address) or self._connect(context, queued.address)
+                dealer.used_s = self._clock.now_s()
+                dealer.socket.send_multipart(queued.frames, zmq.DONTWAIT, copy=True)
+            except zmq.Again:
+                self.counters.dropped_peer_full += 1
+            except zmq.ZMQError as error:
+                self.counters.dropped_invalid += 1
+                _LOG.warning("cannot send to peer %s: %s", queued.address, error)
+            else:
+                self.counters.sent_messages += 1
+                self.counters.sent_bytes += sum(map(len, queued.frames))
+
+    def _close_idle(self) -> None:
+        before_s = self._clock.now_s() - IDLE_CLOSE_S
+        for address in [a for a, dealer in self._dealers.items() if dealer.used_s < before_s]:
+            self._dealers.pop(address).socket.close()
+
+    async def _receive_all(self, router: zmq.asyncio.Socket) -> None:
+        while True:
+            # Under load each receive completes at once; yielding keeps other tasks running.
+            for _ in range(RECEIVE_BATCH):
+                self._take(await router.recv_multipart())
+            await anyio.sleep(0)
+
+    def _take(self, frames: list[bytes]) -> None:
+        self.counters.received_messages += 1
+        self.counters.received_bytes += sum(map(len, frames[1:]))
+        try:
+            message = decode(frames[1:])
+        except PeerError as error:
+            self.counters.dropped_invalid += 1
+            _LOG.warning("dropped a message: %s", error)
+            return
+        self._receive(message)
