--- a/berylchute/hostclient.py
+++ b/berylchute/hostclient.py
@@ -54,7 +54,7 @@
         """Return the configured base URLs."""
         return self._urls
 
-    async def close(self) -> None:
+    async def aclose(self) -> None:
         """Close all connections."""
         await self._pool.aclose()
 
--- a/berylchute/rendering.py
+++ b/berylchute/rendering.py
@@ -25,7 +25,7 @@
 
     def __init__(self, output: Output) -> None:
         """Choose the form of results."""
-        self._output = output
+        self.output = output
         # Fixed width keeps rows on one line when output goes to a file or pipe.
         width = None if sys.stdout.isatty() else 200
         self._console = Console(width=width, highlight=False)
@@ -34,7 +34,7 @@
     def rows(self, title: str, rows: Sequence[Any]) -> None:
         """Write attrs objects or mappings, one a row."""
         plain = [row if isinstance(row, Mapping) else attrs.asdict(row) for row in rows]
-        if self._output is Output.JSON:
+        if self.output is Output.JSON:
             self._write_json(plain)
             return
         if not plain:
@@ -50,7 +50,7 @@
     def record(self, title: str, record: Any) -> None:
         """Write one attrs object or mapping, one field a line."""
         plain = record if isinstance(record, Mapping) else attrs.asdict(record)
-        if self._output is Output.JSON:
+        if self.output is Output.JSON:
             self._write_json(plain)
             return
         self._console.print(title, markup=False)
--- a/berylchute/slowness.py
+++ b/berylchute/slowness.py
@@ -57,6 +57,10 @@
     recent: tuple[Sample, ...]
     past: tuple[Sample, ...]
 
+    def thinned(self, samples_max: int) -> "Summary":
+        """Return evenly chosen samples, at most `samples_max` of either part."""
+        return Summary(_thin(self.recent, samples_max), _thin(self.past, samples_max))
+
 
 @attrs.frozen
 class Finding:
@@ -110,6 +114,10 @@
             self._past.append(sample)
 
 
+def _thin(samples: tuple[Sample, ...], samples_max: int) -> tuple[Sample, ...]:
+    return samples[:: max(1, -(-len(samples) // samples_max))]
+
+
 def _percentile(values: Sequence[float], fraction: float) -> float:
     if not values:
         return 0.0
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -46,6 +46,9 @@
         self._check()
         return {}
 
+    async def aclose(self) -> None:
+        """Nothing to close."""
+
     def _check(self) -> None:
         if self.down:
             raise StoreUnavailable("down")
