Add the request path of the entry program

Cause: callers had no entry host; the design names one program that carries a request from a bearer token to a backend server's matched answer.

--- /dev/null
+++ b/berylchute/endpoints.py
@@ -0,0 +1,100 @@
+"""Serve health, metrics and the operators' paths of the entry program."""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import msgspec
+
+from berylchute.identity import OperatorDirectory
+from berylchute.intake import Receive, Scope, Send, read_whole
+from berylchute.metrics import CONTENT_TYPE_LATEST, Metrics
+from berylchute.refusals import RefusedError
+
+__all__ = ["Endpoints", "ObjectSink", "send_json"]
+
+OBJECT_BYTES_MAX = 1_000_000
+
+ObjectSink = Callable[[str, int, bytes], bool]
+
+
+async def send_body(
+    send: Send, status: int, content_type: bytes, body: bytes, *, close: bool = False
+) -> None:
+    """Send a whole answer."""
+    headers = [(b"content-type", content_type), (b"content-length", b"%d" % len(body))]
+    if close:
+        headers.append((b"connection", b"close"))
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
+
+
+async def send_json(send: Send, status: int, document: Any) -> None:
+    """Send a JSON answer."""
+    await send_body(send, status, b"application/json", msgspec.json.encode(document))
+
+
+class Endpoints:
+    """Answer the paths that are not forwarded."""
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        operators: OperatorDirectory,
+        is_ready: Callable[[], bool],
+        apply_object: ObjectSink,
+        queries: Mapping[str, Callable[[str], Any]],
+    ) -> None:
+        """Wire the parts; `queries` maps a path segment to a query on what follows it."""
+        self._metrics = metrics
+        self._operators = operators
+        self._is_ready = is_ready
+        self._apply_object = apply_object
+        self._queries = queries
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        path: str = scope["path"]
+        if path == "/healthz":
+            await send_json(send, 200, {"status": "ok"})
+        elif path == "/readyz":
+            ready = self._is_ready()
+            await send_json(send, 200 if ready else 503, {"ready": ready})
+        elif path == "/metrics":
+            await send_body(send, 200, CONTENT_TYPE_LATEST.encode(), self._metrics.render())
+        elif not self._operators.allows(_authorization(scope)):
+            await send_json(send, 401, {"code": "unauthorized"})
+        else:
+            await self._operate(scope, receive, send, path.removeprefix("/berylchute/v1/"))
+
+    async def _operate(self, scope: Scope, receive: Receive, send: Send, path: str) -> None:
+        name, _, rest = path.partition("/")
+        if name == "objects" and scope["method"] == "PUT":
+            await self._put_object(scope, receive, send, rest)
+        elif scope["method"] == "GET" and name in self._queries:
+            document = self._queries[name](rest)
+            if document is None:
+                await send_json(send, 404, {"code": "not_found", "path": path})
+            else:
+                await send_json(send, 200, document)
+        else:
+            await send_json(send, 404, {"code": "not_found", "path": path})
+
+    async def _put_object(self, scope: Scope, receive: Receive, send: Send, key: str) -> None:
+        version = dict(scope["headers"]).get(b"berylchute-version", b"")
+        if not version.isdigit():
+            await send_json(send, 400, {"code": "bad_request", "key": "Berylchute-Version"})
+            return
+        try:
+            value = await read_whole(receive, OBJECT_BYTES_MAX)
+        except RefusedError:
+            await send_json(send, 413, {"code": "body_too_large", "allowed": OBJECT_BYTES_MAX})
+            return
+        applied = self._apply_object(key, int(version), value)
+        await send_json(send, 200, {"applied": applied})
+
+
+def _authorization(scope: Scope) -> bytes:
+    for name, value in scope["headers"]:
+        if name == b"authorization":
+            return bytes(value)
+    return b""
--- /dev/null
+++ b/berylchute/intake.py
@@ -0,0 +1,207 @@
+"""Read a caller's request: headers, kind, deadline, key and body."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
+from typing import Any, TypeAlias
+
+import attrs
+
+from berylchute.config import Configuration, Kind
+from berylchute.exchange import ANSWER_BUFFER_BYTES
+from berylchute.refusals import RefusalCode, RefusedError
+from berylchute.settings import LimitSettings
+
+__all__ = [
+    "CallerBody",
+    "CallerGone",
+    "Intake",
+    "KindTable",
+    "Receive",
+    "Scope",
+    "Send",
+    "is_request_id",
+    "read_intake",
+    "read_whole",
+]
+
+Scope: TypeAlias = MutableMapping[str, Any]
+Receive: TypeAlias = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send: TypeAlias = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+
+REQUEST_ID_CHARS_MAX = 64
+# A body that must be digested before dispatch is held whole, within the memory bound of a request.
+KEYED_BODY_BYTES_MAX = 262144
+_REQUEST_ID_CHARS = frozenset("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:-")
+# Hop-by-hop fields end here; the others are set by this host and not taken from callers.
+_DROPPED = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"upgrade",
+        b"expect",
+        b"host",
+        b"authorization",
+        b"berylchute-plan",
+        b"berylchute-host",
+        b"berylchute-request-id",
+        b"berylchute-deadline-ms",
+        b"berylchute-forwarded-by",
+        b"berylchute-not-run",
+    }
+)
+
+
+class CallerGone(Exception):
+    """Report that the caller closed its connection."""
+
+
+def is_request_id(text: str) -> bool:
+    """Tell whether a caller's request id is safe to echo and log."""
+    return 0 < len(text) <= REQUEST_ID_CHARS_MAX and _REQUEST_ID_CHARS.issuperset(text)
+
+
+@attrs.define(eq=False)
+class Intake:
+    """The fields of a request's head that the request path uses."""
+
+    headers: list[tuple[bytes, bytes]]
+    authorization: bytes = b""
+    request_id: str = ""
+    key: str = ""
+    deadline_ms: int | None = None
+    forwarded_by: str = ""
+    content_length: int | None = None
+    chunked: bool = False
+
+
+def _refuse(reason: str, code: RefusalCode = RefusalCode.BAD_REQUEST) -> RefusedError:
+    return RefusedError(code, reason, not_run=True)
+
+
+def _parse_size(value: bytes, name: str) -> int:
+    if not value.isdigit():
+        raise _refuse(f"{name} is not a whole number")
+    return int(value)
+
+
+def read_intake(scope: Scope, limits: LimitSettings) -> Intake:
+    """Return the head's fields; raise RefusedError when they are malformed or too large."""
+    kept: list[tuple[bytes, bytes]] = []
+    intake = Intake(kept)
+    size = 0
+    for name, value in scope["headers"]:
+        size += len(name) + len(value)
+        if name == b"content-length":
+            intake.content_length = _parse_size(value, "Content-Length")
+        elif name == b"transfer-encoding":
+            intake.chunked = True
+        elif name not in _DROPPED:
+            kept.append((name, value))
+            if name == b"idempotency-key":
+                intake.key = value.decode("latin-1")
+        elif name == b"authorization":
+            intake.authorization = value
+        elif name == b"berylchute-request-id":
+            intake.request_id = value.decode("latin-1")
+        elif name == b"berylchute-deadline-ms":
+            intake.deadline_ms = _parse_size(value, "Berylchute-Deadline-Ms")
+        elif name == b"berylchute-forwarded-by":
+            intake.forwarded_by = value.decode("latin-1")
+    if size > limits.header_bytes_max:
+        raise _refuse(f"headers exceed {limits.header_bytes_max} bytes", _HEADERS)
+    if intake.request_id and not is_request_id(intake.request_id):
+        intake.request_id = ""
+        raise _refuse("Berylchute-Request-Id is malformed")
+    if (intake.content_length or 0) > limits.body_bytes_max:
+        raise _refuse(f"body exceeds {limits.body_bytes_max} bytes", RefusalCode.BODY_TOO_LARGE)
+    return intake
+
+
+_HEADERS = RefusalCode.HEADERS_TOO_LARGE
+
+
+class KindTable:
+    """Find the kind of a request by service, method and path prefix."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        self._kinds: dict[bytes, list[tuple[bytes, frozenset[str], Kind]]] = {
+            service.name.encode(): [] for service in configuration.services
+        }
+        ordered = sorted(configuration.kinds, key=lambda kind: -len(kind.path_prefix))
+        for kind in ordered:
+            rows = self._kinds.setdefault(kind.service.encode(), [])
+            rows.append((kind.path_prefix.encode(), frozenset(kind.methods), kind))
+
+    def find(self, method: str, path: bytes) -> Kind:
+        """Return the kind; raise RefusedError when there is none."""
+        # A server may resolve dot segments and so serve another kind than the one matched here.
+        if b"/." in path or b"%2e" in path.lower():
+            raise _refuse("the path holds dot segments")
+        parts = path.split(b"/", 2)
+        rows = self._kinds.get(parts[1]) if len(parts) == 3 else None
+        if rows is None:
+            raise _refuse("no service has this path", RefusalCode.UNKNOWN_SERVICE)
+        for prefix, methods, kind in rows:
+            if method in methods and path.startswith(prefix):
+                return kind
+        raise _refuse(f"no kind takes {method} on this path", RefusalCode.UNKNOWN_KIND)
+
+
+async def read_whole(receive: Receive, bytes_max: int) -> bytes:
+    """Return the whole body; raise RefusedError beyond `bytes_max`, CallerGone when cut off."""
+    message = await receive()
+    if message["type"] != "http.request":
+        raise CallerGone
+    body: bytes = message.get("body", b"")
+    if not message.get("more_body", False) and len(body) <= bytes_max:
+        return body
+    chunks = [body]
+    size = len(body)
+    while True:
+        if size > bytes_max:
+            raise _refuse(f"body exceeds {bytes_max} bytes", RefusalCode.BODY_TOO_LARGE)
+        if not message.get("more_body", False):
+            return b"".join(chunks)
+        message = await receive()
+        if message["type"] != "http.request":
+            raise CallerGone
+        chunks.append(message.get("body", b""))
+        size += len(chunks[-1])
+
+
+class CallerBody:
+    """A body that is sent on while it arrives; one chunk is in memory at a time."""
+
+    def __init__(self, receive: Receive, bytes_max: int) -> None:
+        self._receive = receive
+        self._bytes_max = bytes_max
+        self.touched = False
+        self.complete = False
+        self.size = 0
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        """Iterate over the chunks; raise CallerGone when the caller cuts the body off."""
+        return self._chunks()
+
+    async def _chunks(self) -> AsyncIterator[bytes]:
+        self.touched = True
+        while True:
+            message = await self._receive()
+            if message["type"] != "http.request":
+                raise CallerGone
+            chunk: bytes = message.get("body", b"")
+            self.size += len(chunk)
+            if self.size > self._bytes_max:
+                raise RefusedError(
+                    RefusalCode.BODY_TOO_LARGE, f"body exceeds {self._bytes_max}", not_run=False
+                )
+            if not message.get("more_body", False):
+                self.complete = True
+            for start in range(0, len(chunk), ANSWER_BUFFER_BYTES):
+                yield chunk[start : start + ANSWER_BUFFER_BYTES]
+            if self.complete:
+                return
--- /dev/null
+++ b/berylchute/metrics.py
@@ -0,0 +1,106 @@
+"""Define every prometheus metric of the programs."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client.exposition import CONTENT_TYPE_LATEST
+
+from berylchute.tracing import STAGES, RequestRecord
+
+__all__ = ["CONTENT_TYPE_LATEST", "Metrics"]
+
+# From half a millisecond, below which stages do not matter, to the longest deadline of 60 s.
+_BUCKETS_S = (0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 60)
+
+
+class Metrics:
+    """Hold the metrics of one process in their own registry."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "berylchute_requests_total",
+            "Finished requests by service, kind and outcome.",
+            ("service", "kind", "outcome"),
+            registry=self.registry,
+        )
+        self.refusals = Counter(
+            "berylchute_refusals_total",
+            "Refused requests by refusal code.",
+            ("code",),
+            registry=self.registry,
+        )
+        self.retries = Counter(
+            "berylchute_retries_total",
+            "Retried attempts by the reason of the retry.",
+            ("reason",),
+            registry=self.registry,
+        )
+        self.hedges = Counter(
+            "berylchute_hedges_total",
+            "Hedged attempts by result (won, lost, failed, no_slot, no_budget).",
+            ("result",),
+            registry=self.registry,
+        )
+        self.cancellations = Counter(
+            "berylchute_cancellations_total",
+            "Cancellations sent to backend servers by result (confirmed, unconfirmed).",
+            ("result",),
+            registry=self.registry,
+        )
+        self.repeats = Counter(
+            "berylchute_idempotency_decisions_total",
+            "Decisions on requests with an idempotency key.",
+            ("decision",),
+            registry=self.registry,
+        )
+        self.in_flight = Gauge(
+            "berylchute_requests_in_flight_count",
+            "Requests that this host is answering.",
+            registry=self.registry,
+        )
+        self.idempotency_records = Gauge(
+            "berylchute_idempotency_records_count",
+            "Idempotency records that this host keeps.",
+            registry=self.registry,
+        )
+        self.stage_seconds = Histogram(
+            "berylchute_stage_seconds",
+            "Time of requests in each stage.",
+            ("kind", "stage"),
+            buckets=_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.request_seconds = Histogram(
+            "berylchute_request_seconds",
+            "Time from the arrival of a request to the end of its answer.",
+            ("kind",),
+            buckets=_BUCKETS_S,
+            registry=self.registry,
+        )
+        # Label look-ups cost more than the updates, so the children are kept per kind.
+        self._stages: dict[str, tuple[Histogram, ...]] = {}
+        self._totals: dict[str, Histogram] = {}
+        self._outcomes: dict[tuple[str, str, str], Counter] = {}
+
+    def take(self, record: RequestRecord) -> None:
+        """Count one finished request."""
+        labels = (record.service, record.kind, record.outcome)
+        outcome = self._outcomes.get(labels)
+        if outcome is None:
+            outcome = self._outcomes[labels] = self.requests.labels(*labels)
+        outcome.inc()
+        if record.code:
+            self.refusals.labels(record.code).inc()
+        kind = record.kind
+        total = self._totals.get(kind)
+        if total is None:
+            total = self._totals[kind] = self.request_seconds.labels(kind)
+            self._stages[kind] = tuple(self.stage_seconds.labels(kind, name) for name in STAGES)
+        total.observe(record.ended_s - record.started_s)
+        for child, seconds in zip(self._stages[kind], record.stage_s, strict=True):
+            # Stages that a request did not enter would drown the others in zeros.
+            if seconds > 0.0:
+                child.observe(seconds)
+
+    def render(self) -> bytes:
+        """Return the text exposition."""
+        return generate_latest(self.registry)
