Add host-to-host lending

Cause: with fixed shares a busy host cannot use what others leave idle.

`LoanRequest.renews` lets a lender move the units of a loan to its renewal, so that a busy host does not lose them between two loans. Lent units of a shrunken share are recalled.

--- a/berylchute/ledger.py
+++ b/berylchute/ledger.py
@@ -41,9 +41,18 @@
 
 @attrs.define
 class _Borrowed:
+    """Units of one loan; `peak` is the highest use since `take_idle` last asked."""
+
     units: int
     expires_s: float
     used: int = 0
+    peak: int = 0
+    recalled: bool = False
+
+    def free(self, until_s: float) -> int:
+        if until_s > self.expires_s or self.recalled:
+            return 0
+        return self.units - self.used
 
 
 @attrs.define
@@ -64,11 +73,13 @@
         free = self.share - self.lent_units - self.used
         return free if free > 0 else 0
 
+    def excess(self) -> int:
+        return self.used + self.lent_units - self.share
+
     def free(self, until_s: float) -> int:
         units = self.own_free()
         for loan in self.borrowed.values():
-            if until_s <= loan.expires_s:
-                units += loan.units - loan.used
+            units += loan.free(until_s)
         return units
 
     def roll(self, now_s: float) -> None:
@@ -84,7 +95,7 @@
     """Units of a hold taken from the own share (`loan` is None) or from one loan."""
 
     account: _Account
-    loan: str | None
+    loan: _Borrowed | None
     units: int
 
 
@@ -98,6 +109,7 @@
         self._loan_ends: list[tuple[float, ResourceId, str]] = []
         self._lent_ends: list[tuple[float, ResourceId, str]] = []
         self._demand: dict[tuple[ResourceId, bool], Demand] = {}
+        self._overdrawn: set[ResourceId] = set()
         self._next_hold = 1
         self.set_shares(shares or {})
 
@@ -107,6 +119,7 @@
             account.share = shares.get(resource, 0)
         for resource, units in shares.items():
             self._account(resource).share = units
+        self._overdrawn = {r for r, account in self._accounts.items() if account.excess() > 0}
 
     def try_acquire(
         self, wanted: Sequence[ResourceUnits], until_s: float, now_s: float
@@ -148,7 +161,11 @@
         return account.free(until_s) if account is not None and until_s > now_s else 0
 
     def note_demand(self, wanted: Sequence[ResourceUnits], until_s: float, now_s: float) -> None:
-        """Record unmet demand; lending asks peers for it."""
+        """Record unmet demand; lending asks peers for it.
+
+        A waiting request is noted again at each failed try: lending takes the highest
+        sum of recent ticks, so repeats do not add up and a lost note does no harm.
+        """
         horizon_s = until_s - now_s
         if horizon_s <= 0:
             return
@@ -185,7 +202,7 @@
         """Return the own units that may be lent now, without the reserve for recent use."""
         self.expire(now_s)
         account = self._accounts.get(resource)
-        if account is None or now_s - account.demand_s < DEMAND_MEMORY_S:
+        if account is None or self.is_in_need(resource, now_s):
             return 0
         account.roll(now_s)
         reserve = max(account.peak, account.peak_before, account.used)
@@ -208,6 +225,18 @@
         if remaining == 0:
             del account.lent[loan_id]
 
+    def move_lent(
+        self, old_id: str, loan_id: str, resource: ResourceId, units: int, back_s: float
+    ) -> None:
+        """Move the units out under a loan to its renewal; what exceeds `units` comes back."""
+        self.limit_lent(old_id, resource, 0)
+        self.lend(loan_id, resource, units, back_s)
+
+    def is_in_need(self, resource: ResourceId, now_s: float) -> bool:
+        """Tell whether requests on this host lacked units of the resource just now."""
+        account = self._accounts.get(resource)
+        return account is not None and now_s - account.demand_s < DEMAND_MEMORY_S
+
     def lent_units(self, loan_id: str, resource: ResourceId) -> int:
         """Return the units that are out under a loan."""
         account = self._accounts.get(resource)
@@ -217,25 +246,53 @@
         """Add the units of one granted loan; a loan id is added once only."""
         account = self._account(resource)
         if loan_id not in account.borrowed:
-            account.borrowed[loan_id] = _Borrowed(units, expires_s)
+            account.borrowed[loan_id] = _Borrowed(units, expires_s, peak=units)
             heapq.heappush(self._loan_ends, (expires_s, resource, loan_id))
 
-    def return_unused(self, loan_id: str, resource: ResourceId, keep_free: int = 0) -> int:
-        """Drop a loan's unused units beyond `keep_free`; return the units that remain."""
+    def renew(
+        self, old_id: str, loan_id: str, resource: ResourceId, units: int, expires_s: float
+    ) -> None:
+        """Replace a loan by its renewal, whose units cover the old ones in use."""
+        account = self._account(resource)
+        loan = account.borrowed.pop(old_id, None)
+        self.borrow(loan_id, resource, units, expires_s)
+        if loan is not None and loan_id in account.borrowed:
+            # The same object stays, because holds refer to it.
+            loan.units, loan.expires_s = units, expires_s
+            account.borrowed[loan_id] = loan
+
+    def return_unused(self, loan_id: str, resource: ResourceId, idle: int | None = None) -> int:
+        """Drop `idle` (None: all) unused units of a loan; return the units that remain."""
         account = self._accounts.get(resource)
         loan = account.borrowed.get(loan_id) if account is not None else None
         if account is None or loan is None:
             return 0
-        loan.units = min(loan.units, loan.used + keep_free)
+        free = loan.units - loan.used
+        loan.units -= free if idle is None else min(free, idle)
         if loan.units == 0:
             del account.borrowed[loan_id]
         return loan.units
 
-    def borrowed_free(self, loan_id: str, resource: ResourceId) -> int:
-        """Return the unused units of a borrowed loan."""
+    def recall(self, loan_id: str, resource: ResourceId) -> None:
+        """Use no further unit of a loan; units in use leave as their requests end."""
+        account = self._accounts.get(resource)
+        if account is not None and loan_id in account.borrowed:
+            account.borrowed[loan_id].recalled = True
+
+    def take_idle(self, loan_id: str, resource: ResourceId) -> int:
+        """Return the units of a loan that stayed unused since the last call."""
+        account = self._accounts.get(resource)
+        loan = account.borrowed.get(loan_id) if account is not None else None
+        if loan is None:
+            return 0
+        idle, loan.peak = loan.units - max(loan.peak, loan.used), loan.used
+        return idle
+
+    def borrowed_units(self, loan_id: str, resource: ResourceId) -> int:
+        """Return the units of a borrowed loan."""
         account = self._accounts.get(resource)
         loan = account.borrowed.get(loan_id) if account is not None else None
-        return loan.units - loan.used if loan is not None else 0
+        return loan.units if loan is not None else 0
 
     def usage(self, resource: ResourceId, now_s: float) -> Usage:
         """Return the books of one resource."""
@@ -251,10 +308,14 @@
         """Return the books of every resource, ordered by resource."""
         return [self.usage(resource, now_s) for resource in sorted(self._accounts)]
 
-    def fits(self, now_s: float) -> bool:
-        """Tell whether own use and lent units are within the share of every resource."""
+    def overdrawn(self, now_s: float) -> dict[ResourceId, int]:
+        """Return the units in use or lent beyond the share, after the share shrank."""
+        if not self._overdrawn:
+            return {}
         self.expire(now_s)
-        return all(a.used + a.lent_units <= a.share for a in self._accounts.values())
+        excess = {r: self._accounts[r].excess() for r in self._overdrawn}
+        self._overdrawn = {r for r, units in excess.items() if units > 0}
+        return {r: excess[r] for r in self._overdrawn}
 
     def _account(self, resource: ResourceId) -> _Account:
         return self._accounts.setdefault(resource, _Account())
@@ -268,13 +329,13 @@
             units -= own
         if units == 0:
             return True
-        fitting = [entry for entry in account.borrowed.items() if until_s <= entry[1].expires_s]
         # The loan that ends first is used first: later ones can still bear longer requests.
-        for loan_id, loan in sorted(fitting, key=lambda entry: entry[1].expires_s):
-            taken = min(units, loan.units - loan.used)
-            if taken:
+        for loan in sorted(account.borrowed.values(), key=lambda loan: loan.expires_s):
+            taken = min(units, loan.free(until_s))
+            if taken > 0:
                 loan.used += taken
-                parts.append(_Part(account, loan_id, taken))
+                loan.peak = max(loan.peak, loan.used)
+                parts.append(_Part(account, loan, taken))
                 units -= taken
         return units == 0
 
@@ -284,4 +345,4 @@
             if part.loan is None:
                 part.account.used -= part.units
             else:
-                part.account.borrowed[part.loan].used -= part.units
+                part.loan.used -= part.units
--- a/berylchute/messages.py
+++ b/berylchute/messages.py
@@ -99,7 +99,10 @@
 
 @attrs.frozen
 class LoanRequest:
-    """Ask a lender for units; the borrower counts `term_ms` from when it asked."""
+    """Ask a lender for units; the borrower counts `term_ms` from when it asked.
+
+    `renews` names an earlier loan of this borrower whose units move to the new loan.
+    """
 
     loan_id: str
     borrower: str
@@ -107,6 +110,7 @@
     borrower_address: str
     wanted: tuple[LoanOffer, ...]
     term_ms: int
+    renews: str = ""
 
 
 @attrs.frozen
