--- /dev/null
+++ b/lab/reference.py
@@ -0,0 +1,18 @@
+"""Print the reference tables of docs/metrics.md from the code: `python -m lab.reference`."""
+
+from berylchute.metrics import Metrics
+
+__all__ = ["metric_rows"]
+
+
+def metric_rows() -> list[str]:
+    """Return one table row per metric of the programs."""
+    rows = []
+    for metric in Metrics().registry.collect():
+        name = f"{metric.name}_total" if metric.type == "counter" else metric.name
+        rows.append(f"| `{name}` | {metric.type} | {metric.documentation} |")
+    return sorted(rows)
+
+
+if __name__ == "__main__":
+    print("\n".join(metric_rows()))
