Adapt anyio streams to httpcore without per-call scopes and failed imports

Cause: a profile of the entry program showed httpcore trying to import `sniffio` several times per request, each a search of the whole path, and its anyio adapter opening scopes and reading all socket attributes for each call.

Change: `connections` holds a network backend over anyio streams that relies on the request's own cancel scope, and marks the absence of `sniffio` once.

--- a/berylchute/exchange.py
+++ b/berylchute/exchange.py
@@ -1,14 +1,14 @@
 """Run one HTTP exchange with a backend server and match the answer to its request."""
 
 from collections.abc import AsyncGenerator, AsyncIterable, Sequence
-from contextvars import ContextVar
 from enum import StrEnum
-from typing import Any, ClassVar, Protocol, TypeAlias
+from typing import Any, ClassVar, TypeAlias
 
 import anyio
 import attrs
 import httpcore
 
+from berylchute.connections import Attempt, AttemptClock, StreamBackend, current_attempt
 from berylchute.exceptions import ExchangeError
 from berylchute.types import AttemptState
 
@@ -23,7 +23,6 @@
     "ConnectFailed",
     "Headers",
     "HttpExchanger",
-    "MarkingBackend",
     "MatchState",
     "ServerClosed",
     "ServerTarget",
@@ -137,38 +136,6 @@
         return error
 
 
-class AttemptClock(Protocol):
-    """Record when an attempt got its connection."""
-
-    def now_s(self) -> float:
-        """Return monotonic seconds."""
-        ...
-
-
-@attrs.define(eq=False)
-class Attempt:
-    """One attempt at a backend server, and how far it came."""
-
-    attempt_id: str
-    server: str
-    state: AttemptState = AttemptState.NOT_SENT
-    started_s: float = 0.0
-    sent_s: float = 0.0
-    head_s: float = 0.0
-    ended_s: float = 0.0
-    error: str = ""
-    hedge: bool = False
-    shed: bool = False
-    clock: AttemptClock | None = None
-
-    def mark_sent(self) -> None:
-        """Note that request bytes are about to leave."""
-        if self.state is AttemptState.NOT_SENT:
-            self.state = AttemptState.SENT
-            if self.clock is not None:
-                self.sent_s = self.clock.now_s()
-
-
 @attrs.frozen
 class ServerTarget:
     """Where an exchange goes: a backend server or another entry host."""
@@ -180,47 +147,6 @@
     scheme: bytes = b"http"
 
 
-_current_attempt: ContextVar[Attempt | None] = ContextVar("current_attempt", default=None)
-
-
-class _MarkingStream(httpcore.AsyncNetworkStream):
-    """Mark the current attempt as sent before its first byte is written."""
-
-    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
-        self._stream = stream
-
-    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        return await self._stream.read(max_bytes, timeout)
-
-    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        attempt = _current_attempt.get()
-        if attempt is not None:
-            attempt.mark_sent()
-        await self._stream.write(buffer, timeout)
-
-    async def aclose(self) -> None:
-        await self._stream.aclose()
-
-    async def start_tls(self, *args: Any, **kwargs: Any) -> httpcore.AsyncNetworkStream:
-        return _MarkingStream(await self._stream.start_tls(*args, **kwargs))
-
-    def get_extra_info(self, info: str) -> Any:
-        return self._stream.get_extra_info(info)
-
-
-class MarkingBackend(httpcore.AsyncNetworkBackend):
-    """Open connections whose writes mark the current attempt as sent."""
-
-    def __init__(self, inner: httpcore.AsyncNetworkBackend) -> None:
-        self._inner = inner
-
-    async def connect_tcp(self, *args: Any, **kwargs: Any) -> httpcore.AsyncNetworkStream:
-        return _MarkingStream(await self._inner.connect_tcp(*args, **kwargs))
-
-    async def sleep(self, seconds: float) -> None:
-        await self._inner.sleep(seconds)
-
-
 @attrs.define(eq=False)
 class Answer:
     """A matched answer; `body` is whole unless `rest` streams what follows it."""
@@ -244,7 +170,7 @@
         network_backend: httpcore.AsyncNetworkBackend | None = None,
     ) -> None:
         self._clock = clock
-        self._backend = MarkingBackend(network_backend or httpcore.AnyIOBackend())
+        self._backend = network_backend or StreamBackend()
         self._pools: dict[ServerTarget, httpcore.AsyncConnectionPool] = {}
 
     def _pool(self, target: ServerTarget) -> httpcore.AsyncConnectionPool:
@@ -279,7 +205,7 @@
         """
         attempt.clock = self._clock
         attempt.started_s = self._clock.now_s()
-        _current_attempt.set(attempt)
+        current_attempt.set(attempt)
         matcher = AnswerMatcher(attempt.attempt_id.encode(), method)
         request = httpcore.Request(
             method,
