--- /dev/null
+++ b/lab/launcher.py
@@ -0,0 +1,319 @@
+"""Start and stop the real processes of a deployment on loopback."""
+
+import hashlib
+import signal
+import subprocess
+import sys
+import tempfile
+from collections.abc import Mapping, Sequence
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import attrs
+import httpcore
+import msgspec
+import tomli_w
+
+from berylchute.config import Configuration, HostPosition, decode_toml, encode_json
+from lab.backend import Profile, ServerSpec, World
+from lab.processes import Process, call, call_json, free_ports, wait_until
+from lab.server_standin import ProcessSpec
+
+__all__ = [
+    "OPERATOR_TOKEN",
+    "Deployment",
+    "customer_token",
+    "read_lists",
+]
+
+ROOT = Path(__file__).parent.parent
+OPERATOR_TOKEN = "lab-operator"
+START_TIMEOUT_S = 40.0
+STOP_TIMEOUT_S = 10.0
+
+
+def customer_token(customer: str) -> str:
+    """Return the bearer token that the lab gives to a customer."""
+    return f"lab-{customer}"
+
+
+def read_lists(deployment: str) -> Configuration:
+    """Return a deployment's example lists with tokens that the lab knows."""
+    text = (ROOT / "examples" / deployment / "lists.toml").read_text("utf-8")
+    document = decode_toml(text)
+    customers = tuple(
+        attrs.evolve(item, token_sha256=(_digest(customer_token(item.name)),))
+        for item in document.customers
+    )
+    return attrs.evolve(document, customers=customers, edit_id="lab-1", generation=1)
+
+
+def _digest(token: str) -> str:
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+class Deployment:
+    """Processes of one deployment; a context manager that ends every process it started."""
+
+    def __init__(
+        self,
+        lists: Configuration,
+        profiles: Mapping[str, Profile],
+        *,
+        delays: bool = True,
+        seed: int = 0,
+        log_level: str = "WARNING",
+    ) -> None:
+        ports = iter(free_ports(len(lists.backend_servers)))
+        servers = tuple(
+            attrs.evolve(item, address=f"127.0.0.1:{next(ports)}") for item in lists.backend_servers
+        )
+        self.lists = attrs.evolve(lists, backend_servers=servers)
+        self.processes: dict[str, Process] = {}
+        self.host_urls: dict[str, str] = {}
+        self.control_urls: dict[str, str] = {}
+        self.store_url = ""
+        self.locator_url = ""
+        self._directory = tempfile.TemporaryDirectory(prefix="berylchute-lab-")
+        self.path = Path(self._directory.name)
+        self._profiles = profiles
+        self._delays = delays
+        self._seed = seed
+        self._log_level = log_level
+        self._seeds: list[str] = []
+        self._platform_hosts: dict[str, str] = {}
+        self._generation: dict[str, int] = {}
+
+    def __enter__(self) -> "Deployment":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    def start_process(self, name: str, arguments: Sequence[str]) -> Process:
+        """Start `python ARGUMENTS` with its output in a file."""
+        log_file = self.path / f"{name}.log"
+        with log_file.open("ab") as output:
+            popen = subprocess.Popen(
+                [sys.executable, *arguments], cwd=ROOT, stdout=output, stderr=output
+            )
+        process = Process(name, popen, log_file)
+        self.processes[name] = process
+        return process
+
+    def start_store(self) -> None:
+        """Start the store stand-in and write the lists as its `config` object."""
+        port = free_ports(1)[0]
+        self.store_url = f"http://127.0.0.1:{port}"
+        self.start_process("store", ["-m", "lab.store_standin", "--port", str(port)])
+        self._await_http("store", f"{self.store_url}/control")
+        answer = call(
+            "PUT",
+            f"{self.store_url}/objects/config",
+            encode_json(self.lists),
+            {"If-None-Match": "*"},
+        )
+        if answer.status != 200:
+            raise RuntimeError(f"store refused the lists with {answer.status}")
+
+    def start_servers(self) -> None:
+        """Start one process of backend servers per region."""
+        for region in self.lists.regions:
+            name = f"servers-{region.name}"
+            spec = ProcessSpec(free_ports(1)[0], self._world(), self._server_specs(region.name))
+            spec_file = self.path / f"{name}.json"
+            spec_file.write_bytes(msgspec.json.encode(spec))
+            self.control_urls[region.name] = f"http://127.0.0.1:{spec.control_port}"
+            self.start_process(name, ["-m", "lab.server_standin", "--spec", str(spec_file)])
+        for region_name, url in self.control_urls.items():
+            self._await_http(f"servers-{region_name}", f"{url}/stats")
+
+    def _server_specs(self, region: str) -> tuple[ServerSpec, ...]:
+        return tuple(
+            ServerSpec(
+                name=item.name,
+                service=item.service,
+                availability_zone=item.availability_zone,
+                region=region,
+                port=int(item.address.rpartition(":")[2]),
+                slots=item.slots,
+            )
+            for item in self.lists.backend_servers
+            if self.lists.region_of(item.availability_zone) == region
+        )
+
+    def _world(self) -> World:
+        delays = {
+            "|".join(sorted((item.from_region, item.to_region))): item.one_way_ms
+            for item in self.lists.distances
+        }
+        return World(
+            zone_of_position={p.name: p.availability_zone for p in self.lists.host_positions},
+            region_of_zone={z.name: z.region for z in self.lists.availability_zones},
+            zone_one_way_ms=self.lists.availability_zone_one_way_ms if self._delays else 0.0,
+            region_one_way_ms=delays if self._delays else {},
+            profiles=self._profiles,
+            seed=self._seed,
+        )
+
+    def start_hosts(self, positions: Sequence[str] | None = None, ready: bool = True) -> None:
+        """Start entry hosts at positions (default: all) and wait until they are ready."""
+        chosen = [
+            item
+            for item in self.lists.host_positions
+            if positions is None or item.name in positions
+        ]
+        for item in chosen:
+            self._start_host(item)
+        if ready:
+            for item in chosen:
+                self._await_http(item.name, f"{self.host_urls[item.name]}/readyz")
+
+    def _start_host(self, position: HostPosition) -> None:
+        run = self._generation.get(position.name, 0)
+        self._generation[position.name] = run + 1
+        host_id = f"i-{position.name}-{run}"
+        http_port, peer_port = free_ports(2)
+        self.host_urls[position.name] = f"http://127.0.0.1:{http_port}"
+        settings = self._settings(
+            host_id, position.name, position.availability_zone, http_port, peer_port
+        )
+        self._seeds.append(f"127.0.0.1:{peer_port}")
+        self._launch(position.name, "berylchute.entry", host_id, settings)
+
+    def start_locator(self) -> None:
+        """Start one locator process in the first zone and wait until it is ready."""
+        http_port, peer_port = free_ports(2)
+        self.locator_url = f"http://127.0.0.1:{http_port}"
+        zone = self.lists.availability_zones[0].name
+        settings = self._settings("i-locator-0", "", zone, http_port, peer_port)
+        self._launch("locator", "berylchute.locatord", "i-locator-0", settings)
+        self._await_http("locator", f"{self.locator_url}/readyz")
+
+    def _launch(self, name: str, module: str, host_id: str, settings: dict[str, Any]) -> None:
+        self.list_host(host_id, "live")
+        path = self.path / f"{host_id}.toml"
+        path.write_text(tomli_w.dumps(settings), "utf-8")
+        self.start_process(name, ["-m", module, "--settings", str(path)])
+
+    def _settings(
+        self, host_id: str, position: str, zone: str, http_port: int, peer_port: int
+    ) -> dict[str, Any]:
+        region = self.lists.region_of(zone)
+        return {
+            "host": {
+                "host_id": host_id,
+                "position": position,
+                "availability_zone": zone,
+                "region": region,
+            },
+            "listen": {"http": f"127.0.0.1:{http_port}", "peers": f"127.0.0.1:{peer_port}"},
+            "store": {"url": self.store_url},
+            "peers": {"seeds": self._seeds[-4:]},
+            "operators": {"token_sha256": [_digest(OPERATOR_TOKEN)]},
+            "log": {"level": self._log_level, "requests": False},
+        }
+
+    def list_host(self, host_id: str, state: str) -> None:
+        """Set a host's state in the platform's list."""
+        self._platform_hosts[host_id] = state
+        call_json("POST", f"{self.store_url}/control/hosts", self._platform_hosts)
+
+    def host_id(self, position: str) -> str:
+        """Return the id of the newest host at a position."""
+        return f"i-{position}-{self._generation[position] - 1}"
+
+    def set_store(self, **faults: float | bool) -> None:
+        """Switch faults of the store."""
+        call_json("POST", f"{self.store_url}/control", faults)
+
+    def set_servers(self, servers: Sequence[str] | None, **behaviour: float | bool) -> None:
+        """Change the behaviour of servers (None: all)."""
+        for url in self.control_urls.values():
+            call_json("POST", f"{url}/control", {"servers": servers, "set": behaviour})
+
+    def reset_servers(self) -> None:
+        """Clear the servers' counts."""
+        for url in self.control_urls.values():
+            call_json("POST", f"{url}/reset")
+
+    def server_stats(self) -> list[dict[str, Any]]:
+        """Return one row of counts per server."""
+        rows: list[dict[str, Any]] = []
+        for url in self.control_urls.values():
+            rows += call_json("GET", f"{url}/stats")["servers"]
+        return rows
+
+    def region_peaks(self) -> dict[str, int]:
+        """Return the peak concurrency per region since the last reset."""
+        peaks: dict[str, int] = {}
+        for url in self.control_urls.values():
+            peaks |= call_json("GET", f"{url}/stats")["region_peaks"]
+        return peaks
+
+    def runs(self) -> dict[str, int]:
+        """Return how often each call was run since the last reset."""
+        total: dict[str, int] = {}
+        for url in self.control_urls.values():
+            for name, count in call_json("GET", f"{url}/runs").items():
+                total[name] = total.get(name, 0) + count
+        return total
+
+    def link_bytes(self) -> list[list[Any]]:
+        """Return rows (second, from region, to region, bytes)."""
+        rows: list[list[Any]] = []
+        for url in self.control_urls.values():
+            rows += call_json("GET", f"{url}/links")
+        return rows
+
+    def _await_http(self, name: str, url: str) -> None:
+        process = self.processes[name]
+
+        def answers() -> bool:
+            if process.popen.poll() is not None:
+                raise RuntimeError(
+                    f"{name} ended with {process.popen.returncode}:\n{process.log_tail()}"
+                )
+            with suppress(httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError):
+                return call("GET", url, timeout_s=1.0).status == 200
+            return False
+
+        try:
+            wait_until(answers, START_TIMEOUT_S, f"{name} does not answer {url}")
+        except TimeoutError as error:
+            raise RuntimeError(f"{error}:\n{process.log_tail()}") from error
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once."""
+        self.processes[name].send_signal(signal.SIGKILL)
+        self.processes[name].popen.wait(STOP_TIMEOUT_S)
+
+    def pause(self, name: str) -> None:
+        """Stop a process without ending it."""
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Continue a paused process."""
+        self.processes[name].send_signal(signal.SIGCONT)
+
+    def terminate(self, name: str) -> None:
+        """Ask a process to shut down gracefully; do not wait."""
+        self.processes[name].send_signal(signal.SIGTERM)
+
+    def stop(self) -> None:
+        """End every process and remove the temporary directory."""
+        hosts = [p for name, p in self.processes.items() if name in self.host_urls]
+        # Requests in flight can take as long as their deadline, so hosts are not waited for.
+        for process in hosts:
+            process.send_signal(signal.SIGKILL)
+        for process in self.processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.send_signal(signal.SIGTERM)
+        for process in self.processes.values():
+            try:
+                process.popen.wait(3)
+            except subprocess.TimeoutExpired:
+                process.send_signal(signal.SIGKILL)
+                process.popen.wait(STOP_TIMEOUT_S)
+        self._directory.cleanup()
