--- /dev/null
+++ b/lab/demo.py
@@ -0,0 +1,128 @@
+"""Run a small Cooperativa deployment end to end and check every answer."""
+
+import sys
+import time
+
+import attrs
+import msgspec
+
+from berylchute.exceptions import BerylchuteError
+from lab.launcher import Deployment, read_lists
+from lab.load import LoadResult
+from lab.processes import call, call_json
+from lab.workload import WORKLOADS, run_load, spread_blocks
+
+__all__ = ["main"]
+
+POSITIONS = ("xela-a-1", "xela-b-1", "coban-a-1", "coban-b-1")
+LOAD_S = 12.0
+DRAIN_AT_S = 5.0
+DRAIN_LIMIT_S = 2.0
+
+
+@attrs.frozen
+class _Row:
+    name: str
+    calls: int
+    answered: int
+    p50_ms: float
+    p99_ms: float
+    outcomes: str
+
+
+def _start(deployment: Deployment) -> None:
+    started_s = time.monotonic()
+    deployment.start_store()
+    deployment.start_servers()
+    deployment.start_hosts(POSITIONS)
+    deployment.start_locator()
+    print(f"started {len(deployment.processes)} processes in {time.monotonic() - started_s:.1f} s")
+
+
+def _ask_locator(deployment: Deployment) -> None:
+    url = f"{deployment.locator_url}/berylchute/v1/locate?address=10.10.0.1"
+    answer = call_json("GET", url)
+    print("locator for 10.10.0.1:", ", ".join(host["position"] for host in answer["hosts"]))
+
+
+def drain_server(deployment: Deployment, server: str) -> None:
+    """Declare a drain of a server in the store."""
+    value = [{"id": "demo-drain", "target": "server", "name": server, "state": "declared"}]
+    url = f"{deployment.store_url}/objects/drains"
+    answer = call("PUT", url, msgspec.json.encode(value), {"If-None-Match": "*"})
+    if answer.status != 200:
+        raise RuntimeError(f"store refused the drain with {answer.status}")
+
+
+def _rows(result: LoadResult) -> list[_Row]:
+    rows = []
+    for kind in sorted({item.kind for item in result.records}):
+        part = result.of([kind])
+        answered = part.outcomes()["ok"]
+        others = ", ".join(f"{k}={n}" for k, n in part.outcomes().items() if k != "ok")
+        rows.append(
+            _Row(
+                kind,
+                len(part.records),
+                answered,
+                part.percentile_ms(50),
+                part.percentile_ms(99),
+                others or "-",
+            )
+        )
+    return rows
+
+
+def _print_table(rows: list[_Row]) -> None:
+    print(f"{'kind':<16}{'calls':>7}{'answered':>10}{'p50 ms':>9}{'p99 ms':>9}  not answered")
+    for row in rows:
+        print(
+            f"{row.name:<16}{row.calls:>7}{row.answered:>10}"
+            f"{row.p50_ms:>9.1f}{row.p99_ms:>9.1f}  {row.outcomes}"
+        )
+
+
+def _run(deployment: Deployment) -> bool:
+    workload = WORKLOADS["cooperativa"]
+    _start(deployment)
+    _ask_locator(deployment)
+    kinds = [
+        workload.lookup(60.0),
+        workload.ledger(10.0),
+        workload.ledger(10.0, path=1),
+        workload.upload(2.0),
+    ]
+    load = run_load(deployment, "demo", kinds, LOAD_S, processes=1)
+    time.sleep(max(0.0, load.start_s + DRAIN_AT_S - time.monotonic()))
+    drained = deployment.lists.backend_servers[0].name
+    drain_server(deployment, drained)
+    declared_s = time.monotonic()
+    result = load.wait()
+    _print_table(_rows(result))
+    stats = deployment.server_stats()
+    last_s = next(row["last_arrival_s"] for row in stats if row["name"] == drained) - declared_s
+    print(f"drained {drained}: last new request {max(0.0, last_s):.2f} s after the drain")
+    posts = {item.identity for item in result.records if item.kind not in ("lookup", "upload")}
+    double_runs = sum(count > 1 for name, count in deployment.runs().items() if name in posts)
+    over = sum(row["peak"] > row["slots"] for row in stats)
+    print(f"double runs: {double_runs}; servers over their slots: {over}")
+    complete = result.ok_share() == 1.0 and double_runs == 0 and over == 0
+    return complete and last_s <= DRAIN_LIMIT_S
+
+
+def main() -> int:
+    """Return 0 if every answer was complete and the caller's own."""
+    started_s = time.monotonic()
+    lists = spread_blocks(read_lists("cooperativa"))
+    with Deployment(lists, WORKLOADS["cooperativa"].profiles()) as deployment:
+        try:
+            good = _run(deployment)
+        except (RuntimeError, OSError, BerylchuteError) as error:
+            print(error, file=sys.stderr)
+            good = False
+    print(f"{'passed' if good else 'FAILED'} in {time.monotonic() - started_s:.0f} s")
+    return 0 if good else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
