--- a/berylchute/messages.py
+++ b/berylchute/messages.py
@@ -15,6 +15,7 @@
     "LoanRecall",
     "LoanRequest",
     "LoanReturn",
+    "MemberPull",
     "MemberRecord",
     "MemberUpdate",
     "Message",
@@ -57,11 +58,24 @@
 
 @attrs.frozen
 class MemberUpdate:
-    """Records relayed on behalf of other members; `ages_ms` is the silence so far of each."""
+    """Records relayed on behalf of other members; `ages_ms` is the silence so far of each.
+
+    `zone_beats` counts the rounds of each zone's relays, `zone_ages_ms` is the time since then.
+    """
 
     sender: str
     records: tuple[MemberRecord, ...]
     ages_ms: tuple[int, ...]
+    zone_beats: Mapping[str, int] = attrs.field(factory=dict)
+    zone_ages_ms: Mapping[str, int] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class MemberPull:
+    """Ask for all records of one availability zone, or of the fleet when it is empty."""
+
+    sender_address: str
+    availability_zone: str = ""
 
 
 @attrs.frozen
@@ -99,7 +113,10 @@
 
 @attrs.frozen
 class LoanRequest:
-    """Ask a lender for units; the borrower counts `term_ms` from when it asked."""
+    """Ask a lender for units; the borrower counts `term_ms` from when it asked.
+
+    `renews` names an earlier loan of this borrower whose units move to the new loan.
+    """
 
     loan_id: str
     borrower: str
@@ -107,6 +124,7 @@
     borrower_address: str
     wanted: tuple[LoanOffer, ...]
     term_ms: int
+    renews: str = ""
 
 
 @attrs.frozen
@@ -142,6 +160,7 @@
 Message: TypeAlias = (
     Heartbeat
     | MemberUpdate
+    | MemberPull
     | ObjectDigest
     | ObjectPull
     | ObjectPush
@@ -156,6 +175,7 @@
     for kind in (
         Heartbeat,
         MemberUpdate,
+        MemberPull,
         ObjectDigest,
         ObjectPull,
         ObjectPush,
