Simulate lending under loss, delay, duplication, pauses and restarts

Cause: the loan protocol had no tests.

Change: `lab.lending_world` runs several hosts with drifting clocks on a virtual network; a rule-based state machine and seeded long runs check after every event that the work truly running stays within the caps.

--- /dev/null
+++ b/tests/test_lending.py
@@ -0,0 +1,273 @@
+"""Guard against any order of events that lets the units in use pass a cap."""
+
+import random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from berylchute.borrowing import TERM_MAX_S, loan_term_s
+from berylchute.lending import DRIFT_FACTOR, DRIFT_S
+from berylchute.messages import LoanGrant, LoanOffer, LoanRecall, LoanRequest, LoanReturn
+from berylchute.types import ResourceUnits
+from lab.lending_world import SimHost, World
+
+SHARES = {"a": {"s": 3, "r": 4}, "b": {"s": 3, "r": 2}, "c": {"s": 2, "r": 2}}
+RATES = (1.0, 1.02, 0.98)
+LONGEST_DEADLINE_S = 60.0
+QUARANTINE_S = (LONGEST_DEADLINE_S + TERM_MAX_S) * DRIFT_FACTOR + DRIFT_S
+
+
+def near(first: str, second: str) -> float:
+    return 1.5
+
+
+class LendingMachine(RuleBasedStateMachine):
+    """Run three hosts with clocks that drift under every fault that the design page lists."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World(SHARES, near, RATES)
+        self.quarantine_ends: dict[str, float] = {}
+
+    hosts = st.sampled_from(sorted(SHARES))
+    index = st.integers(min_value=0, max_value=1_000)
+
+    @rule(by_s=st.sampled_from([0.001, 0.02, 0.02, 0.1, 0.3, 1.0, 2.0, 5.0, 30.0, 100.0]))
+    def pass_time(self, by_s: float) -> None:
+        self.world.advance(by_s)
+        for name, ends_s in list(self.quarantine_ends.items()):
+            host = self.world.hosts[name]
+            if host.local_s(self.world.now_s) >= ends_s and not host.paused:
+                host.ledger.set_shares(SHARES[name])
+                del self.quarantine_ends[name]
+
+    @rule(name=hosts, slots=st.integers(1, 4), run_s=st.sampled_from([0.5, 2.0, 5.0, 60.0]))
+    def acquire(self, name: str, slots: int, run_s: float) -> None:
+        host = self.world.hosts[name]
+        units = [ResourceUnits("s", slots), ResourceUnits("r", slots)]
+        if not host.paused:
+            self.world.acquire(host, units, run_s)
+            self.world.tick(host)
+
+    @rule(name=hosts, slots=st.integers(1, 8))
+    def fill(self, name: str, slots: int) -> None:
+        host = self.world.hosts[name]
+        while not host.paused and self.world.acquire(host, [ResourceUnits("s", 1)], 3.0):
+            pass
+        self.tick(name)
+
+    @precondition(lambda self: self.world.running)
+    @rule(index=index, abandoned=st.booleans())
+    def end_work(self, index: int, abandoned: bool) -> None:
+        work = self.world.running[index % len(self.world.running)]
+        if abandoned:
+            work.host.ledger.abandon(work.hold)
+        else:
+            self.world.finish(work)
+
+    @rule(name=hosts)
+    def tick(self, name: str) -> None:
+        self.world.tick(self.world.hosts[name])
+
+    @rule()
+    def run_healthily(self) -> None:
+        for _ in range(10):
+            self.world.advance(0.025)
+            self.world.deliver_due()
+            for host in self.world.hosts.values():
+                self.world.tick(host)
+
+    @precondition(lambda self: self.world.flights)
+    @rule(index=index, copies=st.sampled_from([0, 1, 1, 1, 2]))
+    def deliver(self, index: int, copies: int) -> None:
+        flight = self.world.flights[index % len(self.world.flights)]
+        if copies < 2:
+            self.world.flights.remove(flight)
+        if copies and not self.world.deliver(flight):
+            self.world.flights.append(flight)
+
+    @rule(name=hosts)
+    def pause_or_resume(self, name: str) -> None:
+        host = self.world.hosts[name]
+        host.paused = not host.paused
+
+    @rule(name=hosts)
+    def restart(self, name: str) -> None:
+        old = self.world.hosts[name]
+        host = self.world.start(name, old.host_id, old.incarnation + 1, old.rate, {})
+        self.quarantine_ends[name] = host.local_s(self.world.now_s) + QUARANTINE_S
+
+    @rule(name=hosts)
+    def recall(self, name: str) -> None:
+        host = self.world.hosts[name]
+        now_s = host.local_s(self.world.now_s)
+        self.world.send(host, host.lending.lender.recall({"s": 9, "r": 9}, now_s))
+
+    @rule(name=hosts)
+    def leave(self, name: str) -> None:
+        host = self.world.hosts[name]
+        now_s = host.local_s(self.world.now_s)
+        self.world.send(host, host.lending.borrower.return_all(now_s))
+        host.lending.borrower.is_leaving = False
+
+    @invariant()
+    def caps_hold(self) -> None:
+        """Guard against units in use, abandoned work included, beyond a cap."""
+        assert self.world.over_cap() == {}
+
+
+LendingMachine.TestCase.settings = settings(max_examples=150, stateful_step_count=60, deadline=None)
+TestLending = LendingMachine.TestCase
+
+
+def step(world: World, machine: LendingMachine, rng: random.Random) -> None:
+    """Apply one random event; time passes in small steps so that loans live through many."""
+    name = rng.choice(sorted(SHARES))
+    event = rng.random()
+    if event < 0.35:
+        machine.acquire(name, rng.randint(1, 3), rng.choice([0.5, 2.0, 5.0, 60.0]))
+    elif event < 0.5 and world.running:
+        machine.end_work(rng.randrange(1000), rng.random() < 0.3)
+    elif event < 0.7 and world.flights:
+        machine.deliver(rng.randrange(1000), rng.choice([0, 1, 1, 1, 1, 2]))
+    elif event < 0.71:
+        machine.pause_or_resume(name)
+    elif event < 0.715:
+        machine.restart(name)
+    elif event < 0.72:
+        machine.recall(name)
+    elif event < 0.8:
+        machine.pass_time(rng.choice([0.01, 0.1, 0.5, 1.0, 3.0]))
+    elif event < 0.802:
+        machine.pass_time(rng.choice([30.0, 170.0]))
+    else:
+        machine.pass_time(0.025)
+        machine.tick(name)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_caps_hold_over_long_runs(seed: int) -> None:
+    """Guard against faults that need many loans, renewals and recalls before they show."""
+    rng = random.Random(seed)
+    machine = LendingMachine()
+    for _ in range(1500):
+        step(machine.world, machine, rng)
+        machine.caps_hold()
+
+
+def saturate(world: World, host: SimHost, run_s: float, for_s: float) -> int:
+    """Keep one host asking for more than there is; return the units that it used at the last."""
+    ends_s = world.now_s + for_s
+    used = 0
+    while world.now_s < ends_s:
+        while world.acquire(host, [ResourceUnits("s", 1), ResourceUnits("r", 1)], run_s):
+            pass
+        used = world.in_use("s")
+        for _ in range(9):
+            local_s = host.local_s(world.now_s)
+            units = [ResourceUnits("s", 1), ResourceUnits("r", 1)]
+            host.ledger.note_demand(units, local_s + run_s, local_s)
+        for other in world.hosts.values():
+            world.tick(other)
+        world.advance(0.0251)
+        world.deliver_due()
+    return used
+
+
+@pytest.mark.parametrize("run_s", [2.0, 60.0])
+def test_busy_host_reaches_the_whole_unused_share(run_s: float) -> None:
+    """Guard against unused share that stays where it is idle, for short and long kinds."""
+    world = World(SHARES, near)
+    assert saturate(world, world.hosts["c"], run_s, 1.0) == 8
+
+
+def test_busy_host_keeps_its_loans_across_their_terms() -> None:
+    """Guard against a gap between a loan and its renewal."""
+    world = World(SHARES, near)
+    host = world.hosts["c"]
+    saturate(world, host, 2.0, 1.0)
+    lows = []
+    for _ in range(60):
+        lows.append(saturate(world, host, 2.0, 0.3))
+    assert min(lows) == 8
+
+
+def test_lender_in_need_gets_its_units_back() -> None:
+    """Guard against a borrower that renews for ever while the owner of the share waits."""
+    world = World(SHARES, near)
+    saturate(world, world.hosts["c"], 1.0, 1.0)
+    lender = world.hosts["a"]
+    for _ in range(60):
+        saturate(world, world.hosts["c"], 1.0, 0.03)
+        saturate(world, lender, 1.0, 0.03)
+    now_s = lender.local_s(world.now_s)
+    assert lender.ledger.usage("s", now_s).lent == 0
+    assert lender.ledger.usage("s", now_s).in_use >= 3
+
+
+def test_idle_loans_return_before_their_term() -> None:
+    """Guard against units that stay out with a borrower that no longer needs them."""
+    world = World(SHARES, near)
+    saturate(world, world.hosts["c"], 0.5, 1.0)
+    for _ in range(100):
+        world.advance(0.025)
+        world.deliver_due()
+        for host in world.hosts.values():
+            world.tick(host)
+    assert [h.ledger.usage("s", h.local_s(world.now_s)).lent for h in world.hosts.values()] == [
+        0,
+        0,
+        0,
+    ]
+
+
+def test_paused_borrower_does_not_use_an_expired_loan() -> None:
+    """Guard against a holder that acts on its loan after a pause beyond the term."""
+    world = World(SHARES, near)
+    host = world.hosts["c"]
+    saturate(world, host, 0.5, 1.0)
+    world.advance(loan_term_s(0.5))
+    now_s = host.local_s(world.now_s)
+    assert host.ledger.free_units("s", now_s + 0.1, now_s) == SHARES["c"]["s"]
+
+
+def request(loan_id: str, units: int, renews: str = "") -> LoanRequest:
+    return LoanRequest(loan_id, "b-h", 1, "b", (LoanOffer("s", units),), 5000, renews)
+
+
+def test_repeated_request_is_granted_once() -> None:
+    """Guard against a duplicated request that takes units twice."""
+    host = World(SHARES, near).hosts["a"]
+    first = host.lending.handle(request("b-h.1.1", 2), 0.0)
+    assert host.lending.handle(request("b-h.1.1", 2), 0.1) == first
+    assert host.ledger.usage("s", 0.1).lent == 2
+
+
+def test_return_before_its_request_closes_the_loan() -> None:
+    """Guard against a reordered return that leaves units out for a whole term."""
+    host = World(SHARES, near).hosts["a"]
+    host.lending.handle(LoanReturn("b-h.1.1", "b-h", 1, 1, ()), 0.0)
+    assert host.lending.handle(request("b-h.1.1", 2), 0.1) == []
+    assert host.ledger.usage("s", 0.1).lent == 0
+
+
+def test_renewal_moves_all_units_or_none() -> None:
+    """Guard against a renewal that splits units which the borrower has in use."""
+    host = World(SHARES, near).hosts["a"]
+    host.lending.handle(request("b-h.1.1", 2), 0.0)
+    (refusal,) = host.lending.handle(request("b-h.1.2", 3, "b-h.1.1"), 1.0)
+    assert isinstance(refusal.message, LoanGrant)
+    assert [offer.units for offer in refusal.message.granted] == [0]
+    host.lending.handle(request("b-h.1.3", 2, "b-h.1.1"), 1.0)
+    assert host.ledger.usage("s", 5.0).lent == 2
+    assert host.ledger.usage("s", 6.34).lent == 2
+    assert host.ledger.usage("s", 6.36).lent == 0
+
+
+def test_recall_of_an_earlier_incarnation_s_loan_is_not_answered() -> None:
+    """Guard against a restarted borrower that returns units which its old requests still use."""
+    world = World(SHARES, near)
+    host = world.start("b", "b-h", 2, 1.0, {})
+    assert host.lending.handle(LoanRecall("b-h.1.1"), 0.0) == []
