Compare servers with the siblings of their region

A latency includes the round trip, so servers of other regions looked slow beside near ones and would have been ejected. Subtracts the configured round trip, compares within the region and lets unused servers near the median. Ejection is bounded per service so that a lost region can be ejected whole. The admission queue needs a mean plus two deviations before a deadline, and its means fade, because a mean that refuses all work would never change. Routing searches other zones only when the near one is full or slow.

--- a/berylchute/admission.py
+++ b/berylchute/admission.py
@@ -25,6 +25,10 @@
 QUEUE_LENGTH_MAX = 256
 # Weight of a new sample in the running means of service time and start interval.
 SMOOTHING = 0.1
+# Deviations above the mean that a request needs left; with none half of them would end late.
+DEVIATIONS = 2.0
+# Means fade without new samples; a mean that refuses all work would otherwise never change.
+FADE_S = 2.0
 # Bounds the work of one `take` when requests at the head cannot start.
 SCAN_MAX = 32
 
@@ -69,6 +73,29 @@
     return entry.order
 
 
+@attrs.define
+class _FadingMean:
+    """Running mean and mean absolute deviation that fade while nothing is sampled."""
+
+    mean: float = 0.0
+    deviation: float = 0.0
+    sampled_s: float | None = None
+
+    def add(self, value: float, now_s: float) -> None:
+        if self.sampled_s is None:
+            self.mean = value
+        self.deviation += SMOOTHING * (abs(value - self.mean) - self.deviation)
+        self.mean += SMOOTHING * (value - self.mean)
+        self.sampled_s = now_s
+
+    def read(self, now_s: float, deviations: float = 0.0) -> float:
+        if self.sampled_s is None:
+            return 0.0
+        value = self.mean + deviations * self.deviation
+        age_s = now_s - self.sampled_s
+        return value if age_s <= FADE_S else value * math.exp(1.0 - age_s / FADE_S)
+
+
 @attrs.define
 class AdmissionQueue:
     """Hold a bounded number of requests of one service, earliest deadline first."""
@@ -78,8 +105,8 @@
     _entries: list[_Entry] = attrs.field(factory=list, init=False)
     _count: int = attrs.field(default=0, init=False)
     _displaced: int = attrs.field(default=0, init=False)
-    _service_s: float = attrs.field(default=0.0, init=False)
-    _interval_s: float = attrs.field(default=0.0, init=False)
+    _service_s: dict[str, _FadingMean] = attrs.field(factory=dict, init=False)
+    _interval_s: _FadingMean = attrs.field(factory=_FadingMean, init=False)
     _last_start_s: float | None = attrs.field(default=None, init=False)
 
     def __len__(self) -> int:
@@ -103,11 +130,9 @@
 
     def drop_expired(self, now_s: float) -> tuple[Refusal, ...]:
         """Remove and return the requests that can no longer be answered in time."""
-        latest_s = now_s + self._service_s
-        expired = [entry for entry in self._entries if entry.request.deadline_s <= latest_s]
-        if not expired:
-            return ()
-        self._entries = [entry for entry in self._entries if entry.request.deadline_s > latest_s]
+        expired = [entry for entry in self._entries if self._is_late(entry, now_s)]
+        for entry in expired:
+            self._remove(entry)
         return tuple(Refusal(entry.request, RefusalReason.EXPIRED) for entry in expired)
 
     def take(
@@ -121,8 +146,8 @@
             displaced = self._displaced
             for entry in self._entries[:SCAN_MAX]:
                 if try_start(entry.request, entry.may_move):
-                    self._entries.remove(entry)
                     self._record_start(now_s)
+                    self._remove(entry)
                     return entry.request
             # `try_start` may have displaced a request passed over before; it may go on now.
             if self._displaced == displaced:
@@ -130,9 +155,9 @@
 
     def remove(self, request_id: str) -> bool:
         """Remove a request whose caller has gone; False when it does not wait."""
-        for index, entry in enumerate(self._entries):
+        for entry in self._entries:
             if entry.request.request_id == request_id:
-                del self._entries[index]
+                self._remove(entry)
                 return True
         return False
 
@@ -165,44 +190,52 @@
             count += entry.request.plan_priority < request.plan_priority and not entry.may_move
         return count
 
-    def record_finish(self, service_time_s: float) -> None:
-        """Record how long a request held its slot, in seconds."""
-        self._service_s += SMOOTHING * (service_time_s - self._service_s)
+    def record_finish(self, kind: str, service_time_s: float, now_s: float) -> None:
+        """Record how long a request of a kind took from its start, in seconds."""
+        self._service_s.setdefault(kind, _FadingMean()).add(service_time_s, now_s)
 
-    def expected_wait_s(self, deadline_s: float) -> float:
+    def expected_wait_s(self, deadline_s: float, now_s: float) -> float:
         """Return the expected wait in seconds of a request with this deadline."""
         ahead = sum(entry.order[0] <= deadline_s for entry in self._entries)
-        return ahead * self._interval_s
+        return ahead * self._interval_s.read(now_s)
+
+    def _needed_s(self, request: QueuedRequest, now_s: float) -> float:
+        found = self._service_s.get(request.kind)
+        return 0.0 if found is None else found.read(now_s, DEVIATIONS)
+
+    def _is_late(self, entry: _Entry, start_s: float) -> bool:
+        return start_s + self._needed_s(entry.request, start_s) >= entry.request.deadline_s
+
+    def _remove(self, entry: _Entry) -> None:
+        self._entries.remove(entry)
+        if not self._entries:
+            # An interval that spans an idle time would say nothing about the service.
+            self._last_start_s = None
 
     def _record_start(self, now_s: float) -> None:
-        if self._last_start_s is not None and self._entries:
-            # Only starts with work left behind them show how fast the service drains.
-            interval_s = now_s - self._last_start_s
-            self._interval_s += SMOOTHING * (interval_s - self._interval_s)
+        if self._last_start_s is not None:
+            self._interval_s.add(now_s - self._last_start_s, now_s)
         self._last_start_s = now_s
 
     def _refuse_lowest(self, reason: RefusalReason, entries: Sequence[_Entry]) -> Refusal:
         """Refuse the lowest plan priority and, within it, the latest deadline."""
         victim = min(entries, key=lambda e: (e.request.plan_priority, -e.request.deadline_s))
-        self._entries.remove(victim)
+        self._remove(victim)
         return Refusal(victim.request, reason)
 
     def _refuse_unreachable(self, now_s: float) -> Iterator[Refusal]:
-        """Refuse work until every request that waits can expect to start in time."""
-        while self._interval_s > 0.0:
-            start_s = now_s + self._service_s
-            late = next(
-                (
-                    index
-                    for index, entry in enumerate(self._entries)
-                    if start_s + index * self._interval_s > entry.request.deadline_s
-                ),
-                None,
-            )
-            if late is None:
+        """Refuse work until every request that waits can expect to end in time."""
+        interval_s = self._interval_s.read(now_s)
+        while interval_s > 0.0:
+            start_s = now_s
+            for index, entry in enumerate(self._entries):
+                if index and self._is_late(entry, start_s):
+                    ahead = self._entries[: index + 1]
+                    yield self._refuse_lowest(RefusalReason.DEADLINE_UNREACHABLE, ahead)
+                    break
+                start_s += interval_s
+            else:
                 return
-            ahead = self._entries[: late + 1]
-            yield self._refuse_lowest(RefusalReason.DEADLINE_UNREACHABLE, ahead)
 
 
 @attrs.define
--- a/berylchute/balance.py
+++ b/berylchute/balance.py
@@ -8,19 +8,23 @@
 import attrs
 
 from berylchute.config import Configuration
+from berylchute.topology import compile_delays
 
 __all__ = ["LoadReport", "ServerObserver", "ServerSnapshot"]
 
-# Assumed until the first answer; low, so that unknown servers are tried.
+# Assumed until siblings have answered; low, so that unknown servers are tried.
 INITIAL_LATENCY_S = 0.001
 LATENCY_MIN_S = 0.0001
 # A peak counts for about this long; shorter forgets a noisy neighbour between two requests.
 PEAK_DECAY_S = 2.0
+# A server that gets no requests is taken for an average one again after about this time;
+# otherwise one that was slow once would never be tried again under light load.
+FORGET_S = 10.0
 GAIN_MIN = 0.05
-LOG_GAIN = 0.2
+LOG_GAIN = 0.15
 SLOW_START_S = 10.0
 # Fewer samples or siblings give no usable median.
-SAMPLES_MIN = 3
+SAMPLES_MIN = 4
 SIBLINGS_MIN = 3
 SLOW_RATIO = 2.5
 SAMPLE_AGE_MAX_S = 10.0
@@ -30,11 +34,15 @@
 EJECTION_S = 2.0
 EJECTION_MAX_S = 30.0
 FAILURES_TO_EJECT = 3
-# At most this part of a service's servers gets less than its full share.
+# At most this part of the siblings gets less than its full share for slowness, and at most this
+# part of a service is ejected in total; a whole region of three can be lost.
 LOWERED_FRACTION_MAX = 0.5
 REPORT_AGE_MAX_S = 15.0
 BUSY_LOAD = 0.5
 DRAINING_FACTOR = 4.0
+# A server that shed a request is probably still full for a few service times.
+SHED_MEMORY_S = 0.1
+SHED_FACTOR = 4.0
 
 
 @attrs.frozen
@@ -48,7 +56,10 @@
 
 @attrs.frozen
 class ServerSnapshot:
-    """What this host has observed of one server, for `explain` and metrics."""
+    """What this host has observed of one server, for `explain` and metrics.
+
+    `latency_s` is without the configured round trip.
+    """
 
     server: str
     in_flight: int
@@ -57,47 +68,129 @@
     ejected: bool
 
 
-@attrs.define
+@attrs.define(eq=False)
 class _Server:
     name: str
-    service: str
     started_s: float
-    latency_s: float = INITIAL_LATENCY_S
-    log_mean: float = 0.0
+    round_trip_s: float
+    group: "_Group"
+    peak_s: float = 0.0
+    mean_s: float = 0.0
     samples: int = 0
     in_flight: int = 0
     failures: int = 0
     sampled_s: float = 0.0
     weight: float = 1.0
-    ejected_until_s: float = 0.0
+    ejected_until_s: float = -math.inf
     ejections: int = 0
+    shed_until_s: float = -math.inf
     report: LoadReport | None = None
     reported_s: float = 0.0
 
+    def add_sample(self, latency_s: float, now_s: float) -> None:
+        """Count a latency, less the round trip, in the peak-EWMA and the logarithmic mean."""
+        own_s = max(latency_s - self.round_trip_s, LATENCY_MIN_S)
+        if self.samples == 0:
+            self.peak_s = self.mean_s = own_s
+        else:
+            age_s = max(0.0, now_s - self.sampled_s)
+            gain = max(GAIN_MIN, 1.0 - math.exp(-age_s / PEAK_DECAY_S))
+            peak_s = self.latency_s(now_s)
+            self.peak_s = own_s if own_s > peak_s else peak_s + gain * (own_s - peak_s)
+            # The logarithm keeps a single straggler from looking like a slow server.
+            self.mean_s *= (own_s / self.mean_s) ** LOG_GAIN
+        self.samples += 1
+        self.sampled_s = now_s
+
+    def latency_s(self, now_s: float) -> float:
+        """Return the peak-EWMA latency; without new samples it nears the mean, then the median."""
+        if self.samples == 0:
+            return self.group.median_s or INITIAL_LATENCY_S
+        age_s = now_s - self.sampled_s
+        if age_s <= 0.0:
+            return self.peak_s
+        rest_s = self.mean_s
+        if rest_s > self.group.median_s > 0.0:
+            median_s = self.group.median_s
+            rest_s = median_s + (rest_s - median_s) * math.exp(-age_s / FORGET_S)
+        if self.peak_s <= rest_s:
+            return self.peak_s
+        return rest_s + (self.peak_s - rest_s) * math.exp(-age_s / PEAK_DECAY_S)
+
+    def share(self, now_s: float) -> float:
+        """Return the weight, 0 while ejected, rising during a slow start."""
+        if self.ejected_until_s > now_s:
+            return 0.0
+        age_s = now_s - self.started_s
+        if age_s >= SLOW_START_S:
+            return self.weight
+        return self.weight * max(WEIGHT_MIN, age_s / SLOW_START_S)
+
+    def penalty(self, now_s: float) -> float:
+        """Return a factor of at least 1 from shed requests and the load report."""
+        factor = SHED_FACTOR if self.shed_until_s > now_s else 1.0
+        report = self.report
+        # An old report loses its effect because it may no longer hold.
+        if report is None or now_s - self.reported_s > REPORT_AGE_MAX_S:
+            return factor
+        if report.state == "draining":
+            return factor * DRAINING_FACTOR
+        return factor * (1.0 + max(0.0, min(1.0, report.load) - BUSY_LOAD))
+
+
+@attrs.define(eq=False)
+class _Group:
+    """Siblings: the servers of a service in one region, or in all where a region has few."""
+
+    servers: list[_Server] = attrs.field(factory=list)
+    median_s: float = 0.0
+    judged_s: float = -math.inf
+
+    def count_lowered(self, but: _Server, now_s: float) -> int:
+        return sum(
+            server is not but and (server.weight < 1.0 or server.ejected_until_s > now_s)
+            for server in self.servers
+        )
+
+    def count_ejected(self, but: _Server, now_s: float) -> int:
+        return sum(server is not but and server.ejected_until_s > now_s for server in self.servers)
+
 
 class ServerObserver:
     """Track in-flight requests, latency, failures and reports of every backend server."""
 
-    def __init__(self) -> None:
-        """Start without servers."""
+    def __init__(self, availability_zone: str = "", region: str = "") -> None:
+        """Observe from a host in this zone and region; round trips depend on it."""
+        self._availability_zone = availability_zone
+        self._region = region
         self._servers: dict[str, _Server] = {}
-        self._siblings: dict[str, list[_Server]] = {}
-        self._judged_s: dict[str, float] = {}
-        self._median_s: dict[str, float] = {}
+        self._services: dict[str, _Group] = {}
+        self._service_of: dict[str, str] = {}
 
     def configure(self, configuration: Configuration, now_s: float) -> None:
         """Follow the configured servers; those added after the first call start slowly."""
-        first = not self._servers
-        started_s = now_s - SLOW_START_S if first else now_s
-        known = self._servers
+        started_s = now_s if self._servers else now_s - SLOW_START_S
+        known, known_service = self._servers, self._service_of
+        round_trips_s = self._round_trips_s(configuration)
+        region_of = {zone.name: zone.region for zone in configuration.availability_zones}
         self._servers = {}
-        self._siblings = {service.name: [] for service in configuration.services}
+        self._service_of = {}
+        self._services = {service.name: _Group() for service in configuration.services}
+        groups: dict[tuple[str, str], _Group] = {}
         for configured in configuration.backend_servers:
-            server = known.get(configured.name)
-            if server is None or server.service != configured.service:
-                server = _Server(configured.name, configured.service, started_s)
-            self._servers[server.name] = server
-            self._siblings.setdefault(server.service, []).append(server)
+            name, service = configured.name, configured.service
+            whole = self._services.setdefault(service, _Group())
+            group = groups.setdefault((service, region_of[configured.availability_zone]), _Group())
+            round_trip_s = round_trips_s[configured.availability_zone]
+            server = known.get(name)
+            if server is None or known_service[name] != service:
+                server = _Server(name, started_s, round_trip_s, group)
+            server.round_trip_s, server.group = round_trip_s, group
+            self._servers[name] = server
+            self._service_of[name] = service
+            whole.servers.append(server)
+            group.servers.append(server)
+        self._join_small_groups()
 
     def record_sent(self, server: str, now_s: float) -> None:
         """Record that an attempt was sent."""
@@ -109,20 +202,28 @@
         if found := self._servers.get(server):
             found.in_flight = max(0, found.in_flight - 1)
             found.failures = 0
-            _add_sample(found, latency_s, now_s)
-            self._judge(found.service, now_s)
+            found.add_sample(latency_s, now_s)
+            self._judge(found, now_s)
 
     def record_failure(self, server: str, now_s: float, *, was_sent: bool) -> None:
-        """Record a refused connection, broken exchange or shed request."""
+        """Record a refused connection or broken exchange; several in a row eject the server."""
         found = self._servers.get(server)
         if found is None:
             return
         if was_sent:
             found.in_flight = max(0, found.in_flight - 1)
         found.failures += 1
-        if found.failures >= FAILURES_TO_EJECT and found.ejected_until_s <= now_s:
+        # A server on probation is ejected again at its first failure.
+        allowed = FAILURES_TO_EJECT if found.weight == 1.0 else 1
+        if found.failures >= allowed and found.ejected_until_s <= now_s:
             self._eject(found, now_s)
 
+    def record_shed(self, server: str, now_s: float) -> None:
+        """Record that the server shed the request as not run; it ranks last for a short time."""
+        if found := self._servers.get(server):
+            found.in_flight = max(0, found.in_flight - 1)
+            found.shed_until_s = now_s + SHED_MEMORY_S
+
     def record_cancel(self, server: str, elapsed_s: float, now_s: float) -> None:
         """Record a cancelled or timed-out attempt without an answer after `elapsed_s`."""
         found = self._servers.get(server)
@@ -130,9 +231,9 @@
             return
         found.in_flight = max(0, found.in_flight - 1)
         # The answer would have taken longer; a shorter time says nothing about the server.
-        if elapsed_s > found.latency_s or elapsed_s > math.exp(found.log_mean):
-            _add_sample(found, elapsed_s, now_s)
-            self._judge(found.service, now_s)
+        if elapsed_s - found.round_trip_s > found.mean_s:
+            found.add_sample(elapsed_s, now_s)
+            self._judge(found, now_s)
 
     def record_report(self, server: str, report: LoadReport, now_s: float) -> None:
         """Record a load report; it can only lower the server's rank."""
@@ -155,22 +256,22 @@
         The score is peak-EWMA latency x (in flight + 1), raised by bad load reports.
         """
         found = self._servers[server]
-        score_s = _decayed_s(found, now_s) * (found.in_flight + 1)
-        if found.report is not None:
-            score_s *= _report_factor(found.report, now_s - found.reported_s)
-        return score_s, _weight(found, now_s)
+        score_s = found.latency_s(now_s) * (found.in_flight + 1)
+        if found.report is not None or found.shed_until_s > now_s:
+            score_s *= found.penalty(now_s)
+        return score_s, found.share(now_s)
 
     def latency_s(self, server: str, now_s: float) -> float:
-        """Return the peak-EWMA latency in seconds."""
-        return _decayed_s(self._servers[server], now_s)
+        """Return the peak-EWMA latency in seconds, without the configured round trip."""
+        return self._servers[server].latency_s(now_s)
 
     def weight(self, server: str, now_s: float) -> float:
         """Return the share, 0 (ejected) to 1, of the load that the server should get."""
-        return _weight(self._servers[server], now_s)
+        return self._servers[server].share(now_s)
 
     def median_s(self, service: str) -> float:
         """Return the median of the mean latencies of a service's servers; 0 while unknown."""
-        return self._median_s.get(service, 0.0)
+        return self._services[service].median_s
 
     def in_flight(self, server: str) -> int:
         """Return the attempts of this host that the server has not ended."""
@@ -178,104 +279,71 @@
 
     def snapshot(self, server: str, now_s: float) -> ServerSnapshot:
         """Return what has been observed of one server."""
+        found = self._servers[server]
         return ServerSnapshot(
             server=server,
-            in_flight=self.in_flight(server),
-            latency_s=self.latency_s(server, now_s),
-            weight=self.weight(server, now_s),
-            ejected=self._servers[server].ejected_until_s > now_s,
+            in_flight=found.in_flight,
+            latency_s=found.latency_s(now_s),
+            weight=found.share(now_s),
+            ejected=found.ejected_until_s > now_s,
         )
 
-    def _judge(self, service: str, now_s: float) -> None:
+    def _round_trips_s(self, configuration: Configuration) -> dict[str, float]:
+        """Return the configured round trip to each availability zone; 0 where unknown."""
+        delays_s = compile_delays(configuration, self._region)
+        near_s = 2 * configuration.availability_zone_one_way_ms / 1000
+        return {
+            zone.name: 2 * delays_s.get(zone.region, 0.0)
+            + (0.0 if zone.name == self._availability_zone or not self._region else near_s)
+            for zone in configuration.availability_zones
+        }
+
+    def _join_small_groups(self) -> None:
+        for name, server in self._servers.items():
+            if len(server.group.servers) < SIBLINGS_MIN:
+                server.group = self._services[self._service_of[name]]
+
+    def _judge(self, server: _Server, now_s: float) -> None:
         """Lower the weight of servers slower than their siblings, raise that of the others."""
-        if now_s - self._judged_s.get(service, -math.inf) < JUDGE_INTERVAL_S:
+        group = server.group
+        if now_s - group.judged_s < JUDGE_INTERVAL_S:
+            return
+        group.judged_s = now_s
+        whole = self._services[self._service_of[server.name]]
+        for siblings in (whole, group):
+            means_s = [s.mean_s for s in siblings.servers if s.samples >= SAMPLES_MIN]
+            if len(means_s) >= SIBLINGS_MIN:
+                siblings.median_s = statistics.median(means_s)
+        if group.median_s == 0.0:
             return
-        self._judged_s[service] = now_s
-        siblings = self._siblings[service]
-        judged = [server for server in siblings if server.samples >= SAMPLES_MIN]
-        if len(judged) < SIBLINGS_MIN:
+        for sibling in group.servers:
+            if sibling.samples >= SAMPLES_MIN and sibling.ejected_until_s <= now_s:
+                self._adjust(sibling, now_s)
+
+    def _adjust(self, server: _Server, now_s: float) -> None:
+        group = server.group
+        is_recent = server.sampled_s > now_s - SAMPLE_AGE_MAX_S
+        if not is_recent or server.mean_s <= SLOW_RATIO * group.median_s:
+            server.weight = min(1.0, server.weight * WEIGHT_RISE)
+            if server.weight == 1.0:
+                server.ejections = 0
             return
-        median_log = statistics.median(server.log_mean for server in judged)
-        slow_log = median_log + math.log(SLOW_RATIO)
-        self._median_s[service] = math.exp(median_log)
-        for server in judged:
-            if server.ejected_until_s > now_s:
-                continue
-            if server.log_mean > slow_log and server.sampled_s > now_s - SAMPLE_AGE_MAX_S:
-                self._weaken(server, now_s)
-            else:
-                server.weight = min(1.0, server.weight * WEIGHT_RISE)
-                if server.weight == 1.0:
-                    server.ejections = 0
-
-    def _weaken(self, server: _Server, now_s: float) -> None:
-        if server.weight == 1.0 and not self._may_lower(server, now_s):
+        lowered = group.count_lowered(server, now_s) + 1
+        if server.weight == 1.0 and lowered > len(group.servers) * LOWERED_FRACTION_MAX:
             return
-        server.weight /= 2
-        if server.weight < WEIGHT_MIN:
+        if server.weight / 2 < WEIGHT_MIN:
             self._eject(server, now_s)
+        else:
+            server.weight /= 2
 
     def _eject(self, server: _Server, now_s: float) -> None:
-        if not self._may_lower(server, now_s):
+        """Send the server nothing for a time that doubles; then judge it by new samples only."""
+        whole = self._services[self._service_of[server.name]]
+        ejected = whole.count_ejected(server, now_s) + 1
+        if ejected > len(whole.servers) * LOWERED_FRACTION_MAX:
             return
         server.ejected_until_s = now_s + min(EJECTION_MAX_S, EJECTION_S * 2**server.ejections)
         server.ejections += 1
         server.weight = WEIGHT_MIN
-        # After readmission the server is judged by new samples only.
         server.samples = 0
         server.failures = 0
-
-    def _may_lower(self, server: _Server, now_s: float) -> bool:
-        """Return whether one more sibling may get a lower share."""
-        siblings = self._siblings[server.service]
-        lowered = sum(
-            other is not server and (other.weight < 1.0 or other.ejected_until_s > now_s)
-            for other in siblings
-        )
-        return lowered + 1 <= len(siblings) * LOWERED_FRACTION_MAX
-
-
-def _decayed_s(server: _Server, now_s: float) -> float:
-    """Return the peak-EWMA latency, decaying towards the mean while nothing is sampled."""
-    if server.samples == 0:
-        return server.latency_s
-    floor_s = math.exp(server.log_mean)
-    if server.latency_s <= floor_s:
-        return server.latency_s
-    age_s = max(0.0, now_s - server.sampled_s)
-    return floor_s + (server.latency_s - floor_s) * math.exp(-age_s / PEAK_DECAY_S)
-
-
-def _add_sample(server: _Server, latency_s: float, now_s: float) -> None:
-    log_latency = math.log(max(latency_s, LATENCY_MIN_S))
-    current_s = _decayed_s(server, now_s)
-    if server.samples == 0:
-        server.latency_s = latency_s
-        server.log_mean = log_latency
-    else:
-        elapsed_s = max(0.0, now_s - server.sampled_s)
-        gain = max(GAIN_MIN, 1.0 - math.exp(-elapsed_s / PEAK_DECAY_S))
-        is_peak = latency_s > current_s
-        server.latency_s = latency_s if is_peak else current_s + gain * (latency_s - current_s)
-        # The logarithm keeps a single straggler from looking like a slow server.
-        server.log_mean += LOG_GAIN * (log_latency - server.log_mean)
-    server.samples += 1
-    server.sampled_s = now_s
-
-
-def _weight(server: _Server, now_s: float) -> float:
-    if server.ejected_until_s > now_s:
-        return 0.0
-    age_s = now_s - server.started_s
-    if age_s >= SLOW_START_S:
-        return server.weight
-    return server.weight * max(WEIGHT_MIN, age_s / SLOW_START_S)
-
-
-def _report_factor(report: LoadReport, age_s: float) -> float:
-    """Return at least 1; an old report loses its effect because it may no longer hold."""
-    if age_s > REPORT_AGE_MAX_S:
-        return 1.0
-    if report.state == "draining":
-        return DRAINING_FACTOR
-    return 1.0 + max(0.0, min(1.0, report.load) - BUSY_LOAD)
--- a/berylchute/routing.py
+++ b/berylchute/routing.py
@@ -49,6 +49,8 @@
 LOW_WEIGHT_COST_S = 1.0
 # A best server slower than this multiple of its siblings' median makes other regions eligible.
 SLOW_RATIO = 2.5
+# After this many failed attempts a request leaves its region, which may be lost as a whole.
+TRIES_PER_REGION = 2
 # Power of two choices.
 CHOICES = 2
 
@@ -145,12 +147,13 @@
         first = self._rank_region(preferred, request, reason, now_s, rng)
         if first.free:
             first.wanted = first.free[0]
-        if first.free and not self._is_slow(first, request.service, now_s):
-            return Route(RouteAction.DISPATCH, tuple(first.free), first.wanted)
+            has_tried = len(request.excluded) >= TRIES_PER_REGION
+            if not has_tried and not self._is_slow(first, request.service, now_s):
+                return Route(RouteAction.DISPATCH, tuple(first.free), first.wanted)
         others = self._rank_others(usable, preferred, request, now_s, rng)
-        elsewhere = [candidate for ranked in others for candidate in ranked.free]
         if first.free:
             return self._compare(first, others, request, now_s)
+        elsewhere = [candidate for ranked in others for candidate in ranked.free]
         if first.wanted is None:
             return _next_route(elsewhere, others)
         return self._leave_full(request, first, others, elsewhere, now_s)
@@ -190,9 +193,12 @@
     def _compare(
         self, first: _Ranked, others: Sequence[_Ranked], request: RouteRequest, now_s: float
     ) -> Route:
-        """Put a region with quicker servers before a preferred region that is slow."""
+        """Put other regions before a preferred region that is slower or has failed."""
         ordered = [first, *(ranked for ranked in others if ranked.free)]
-        ordered.sort(key=lambda ranked: self._region_cost_s(ranked, request, now_s))
+        if len(request.excluded) >= TRIES_PER_REGION:
+            ordered = [*ordered[1:], first]
+        else:
+            ordered.sort(key=lambda ranked: self._region_cost_s(ranked, request, now_s))
         candidates = tuple(candidate for ranked in ordered for candidate in ranked.free)
         return Route(RouteAction.DISPATCH, candidates, first.wanted)
 
@@ -270,18 +276,34 @@
         for zone in region.near_zones:
             if not self._drains.is_draining("availability_zone", zone.name):
                 self._search_zone(ranked, zone, request, near_reason, now_s, rng)
-        count = len(region.zones)
+        if len(ranked.free) >= CHOICES:
+            ranked.free.sort(key=_score)
+            if not self._is_slow(ranked, request.service, now_s):
+                return ranked
+        self._search_far_zones(ranked, request, reason, now_s, rng)
+        ranked.free.sort(key=_score)
+        return ranked
+
+    def _search_far_zones(
+        self,
+        ranked: _Ranked,
+        request: RouteRequest,
+        reason: RankReason,
+        now_s: float,
+        rng: random.Random,
+    ) -> None:
+        """Add servers of the region's other zones, from a random one on, until two are found."""
+        zones = ranked.region.zones
+        count = len(zones)
         offset = int(rng.random() * count)
-        wanted = len(ranked.free) + CHOICES
+        enough = len(ranked.free) + CHOICES
         for step in range(count):
-            zone = region.zones[(offset + step) % count]
+            zone = zones[(offset + step) % count]
             if self._drains.is_draining("availability_zone", zone.name):
                 continue
             self._search_zone(ranked, zone, request, reason, now_s, rng)
-            if len(ranked.free) >= wanted:
-                break
-        ranked.free.sort(key=_score)
-        return ranked
+            if len(ranked.free) >= enough:
+                return
 
     def _search_zone(
         self,
@@ -296,6 +318,7 @@
         free_units = self._headroom.free_units
         is_draining = self._drains.is_draining
         excluded, until_s = request.excluded, request.until_s
+        is_short = request.size == "short"
         choices = CHOICES
         for servers in zone.groups:
             count = len(servers)
@@ -308,7 +331,7 @@
                 ranked.probes -= 1
                 resource = server.units.resource
                 slots = free_units(resource, until_s, now_s) if ranked.free_units else 0
-                if slots < 1 or not self._reserve.allows(request.size, resource, slots):
+                if slots < 1 or not (is_short or self._reserve.allows("long", resource, slots)):
                     if ranked.wanted is None:
                         ranked.wanted = self._score_server(
                             ranked.region, zone, server, reason, now_s, rng
--- a/berylchute/topology.py
+++ b/berylchute/topology.py
@@ -7,7 +7,7 @@
 from berylchute.config import BackendServer, Configuration
 from berylchute.types import ResourceId, ResourceUnits
 
-__all__ = ["IndexedRegion", "IndexedServer", "IndexedZone", "compile_index"]
+__all__ = ["IndexedRegion", "IndexedServer", "IndexedZone", "compile_delays", "compile_index"]
 
 # A region without a configured distance is tried last.
 UNKNOWN_DELAY_S = 1.0
@@ -87,7 +87,7 @@
     return zones
 
 
-def _compile_delays(configuration: Configuration, host_region: str) -> dict[str, float]:
+def compile_delays(configuration: Configuration, host_region: str) -> dict[str, float]:
     """Return the one-way delay in seconds from the host's region to each other."""
     delays_s = {host_region: 0.0}
     for distance in configuration.distances:
@@ -105,7 +105,7 @@
     base_units: Mapping[ResourceId, int],
 ) -> dict[tuple[str, str], tuple[IndexedRegion, ...]]:
     """Return the regions of each (plan, service) in order of distance."""
-    delays_s = _compile_delays(configuration, host_region)
+    delays_s = compile_delays(configuration, host_region)
     zones = _compile_zones(configuration, availability_zone, host_region, base_units)
     index: dict[tuple[str, str], list[IndexedRegion]] = {}
     for allowance in configuration.allowances:
