Deflate messages and separate replication from sockets

Control traffic of a relay was 13.4 kB/s, mostly field names. Bodies are now deflated with a dictionary of these names; replication (digests, pulls, pushes) is a pure class that the lab drives on a virtual clock.

--- a/berylchute/messages.py
+++ b/berylchute/messages.py
@@ -1,5 +1,6 @@
 """Define the messages between hosts and their msgpack codec."""
 
+import zlib
 from collections.abc import Mapping
 from typing import TypeAlias
 
@@ -184,16 +185,50 @@
 _DECODERS = {name: msgspec.msgpack.Decoder(kind) for name, kind in _TYPES.items()}
 
 
+# Most bytes of a message are field names; deflate with this dictionary leaves about a third.
+# Both ends need the same bytes: a change needs another suffix, and the old one to be decoded
+# until every host is upgraded.
+_DICTIONARY = (
+    b"\x85\xa7loan_id\xa8borrower\xb4borrower_incarnation\xb0borrower_address\xa6lender"
+    b"\xb2lender_incarnation\xaelender_address\xa6wanted\xa7granted\xa9remaining\x91"
+    b"\x82\xa8resource\xa7server:\xa5units\xa7term_ms\x83\xa3key\xa7version\xa5value\xc4"
+    b"\x82\xaesender_address\xa8versions\x85\xa6config\xa7history\xa6drains\xa6shifts\xa6claims"
+    b"\x85\xa6sender\xa7records\x94\xa7ages_ms\x94\x00\x00\x00\x00\xaazone_beats"
+    b"\xaczone_ages_ms\x82\xa6record\x8f\xa7host_id\xa8position\xb1availability_zone"
+    b"\xa6region\xa4role\xa5entry\xabincarnation\xcf\x00\x00\x01\xa8sequence\xcd"
+    b"\xa7leaving\xc2\xa5ready\xc3\xa8http_url\xb5http://127.0.0.1:\xacpeer_address"
+    b"\xaf127.0.0.1:\xabowner_epoch\xafsettled_version\xcd\xaeconfig_version\xcd"
+    b"\xaafree_units\x83\xa6digest\x85"
+)
+_DEFLATED = b"/1"
+_DEFLATE_LEVEL = 1  # higher levels cost more time than the bytes they save are worth here
+_DECODED_BYTES_MAX = 2_000_000  # an object of 1 MB with room for its frame
+
+
 def encode(message: Message) -> list[bytes]:
-    """Return the frames of a message: its type name and its msgpack body."""
-    return [type(message).__name__.encode(), msgspec.msgpack.encode(message)]
+    """Return the frames of a message: its type name and its deflated msgpack body."""
+    name = type(message).__name__.encode()
+    body = msgspec.msgpack.encode(message)
+    deflate = zlib.compressobj(level=_DEFLATE_LEVEL, wbits=-zlib.MAX_WBITS, zdict=_DICTIONARY)
+    deflated = deflate.compress(body) + deflate.flush()
+    return [name + _DEFLATED, deflated] if len(deflated) < len(body) else [name, body]
 
 
 def decode(frames: list[bytes]) -> Message:
     """Return the message in `frames`; raise PeerError for unknown types or bodies."""
-    if len(frames) != 2 or frames[0] not in _DECODERS:
+    name = frames[0].removesuffix(_DEFLATED) if frames else b""
+    if len(frames) != 2 or name not in _DECODERS:
         raise PeerError(f"message of {len(frames)} frames has no known type")
     try:
-        return _DECODERS[frames[0]].decode(frames[1])
-    except msgspec.MsgspecError as error:
-        raise PeerError(f"{frames[0].decode()}: {error}") from error
+        body = frames[1] if name == frames[0] else _inflate(frames[1])
+        return _DECODERS[name].decode(body)
+    except (msgspec.MsgspecError, zlib.error) as error:
+        raise PeerError(f"{name.decode()}: {error}") from error
+
+
+def _inflate(body: bytes) -> bytes:
+    inflate = zlib.decompressobj(wbits=-zlib.MAX_WBITS, zdict=_DICTIONARY)
+    inflated = inflate.decompress(body, _DECODED_BYTES_MAX)
+    if not inflate.eof:
+        raise PeerError("body is cut short or too long when inflated")
+    return inflated
--- a/berylchute/node.py
+++ b/berylchute/node.py
@@ -13,18 +13,10 @@
 from berylchute.config import Configuration, decode_json
 from berylchute.exceptions import ConfigError, StoreError
 from berylchute.membership import Membership, Outgoing
-from berylchute.messages import (
-    Heartbeat,
-    MemberPull,
-    MemberRecord,
-    MemberUpdate,
-    Message,
-    ObjectDigest,
-    ObjectPull,
-    ObjectPush,
-)
+from berylchute.messages import MemberRecord, Message
 from berylchute.objects import ObjectReplica
 from berylchute.peers import PeerCounters, Peers
+from berylchute.replication import Replication
 from berylchute.settings import Settings
 from berylchute.store import Backoff, HttpObjectStore
 from berylchute.types import Clock, MemberView, ObjectStore, PeerSender, StoredObject
@@ -98,6 +90,7 @@
         self._membership = Membership(
             _first_record(settings, role), settings.peers.seeds, self._rng, self._started_s
         )
+        self._replication = Replication(self._membership, self._objects, self._object_changed)
         self.dropped_messages = 0
 
     @property
@@ -174,18 +167,9 @@
 
     def receive_object(self, stored: StoredObject) -> bool:
         """Take an object that an operator or the store handed over; tell whether it is newer."""
-        if not self._objects.apply(stored.key, stored.version, stored.value):
-            return False
-        if stored.key == "config":
-            self._put_in_force(stored)
-        self._membership.set_digest(self._objects.digest())
-        for subscription in self._object_subscriptions:
-            if stored.key in subscription.keys:
-                self._offer(subscription.stream, stored)
-        digest = self._own_digest()
-        for address in self._membership.digest_targets():
-            self._peers.send(address, digest)
-        return True
+        newer = stored.version > self._objects.version(stored.key)
+        self._send(self._replication.take(stored))
+        return newer and self._objects.version(stored.key) == stored.version
 
     def set_headroom(self, free_units: Mapping[str, int]) -> None:
         """Set the free units per service that heartbeats report."""
@@ -232,10 +216,12 @@
         self._membership.change_record(record)
         self._wake.set()
 
-    def _own_digest(self) -> ObjectDigest:
-        return ObjectDigest(
-            sender_address=self._settings.listen.peers, versions=self._objects.digest()
-        )
+    def _object_changed(self, stored: StoredObject) -> None:
+        if stored.key == "config":
+            self._put_in_force(stored)
+        for subscription in self._object_subscriptions:
+            if stored.key in subscription.keys:
+                self._offer(subscription.stream, stored)
 
     def _put_in_force(self, stored: StoredObject) -> None:
         try:
@@ -245,7 +231,6 @@
             _LOG.error("config version %d cannot be decoded: %s", stored.version, error)
             return
         self._in_force = ConfigurationInForce(stored.version, configuration)
-        self._change(attrs.evolve(self.record, config_version=stored.version))
 
     def _offer(self, stream: MemoryObjectSendStream[_Item], item: _Item) -> None:
         try:
@@ -259,35 +244,14 @@
 
     def _receive(self, message: Message) -> None:
         """Handle one message; called by the task that owns the sockets."""
-        now_s = self._clock.now_s()
-        if isinstance(message, Heartbeat | MemberUpdate | MemberPull):
-            self._send(self._membership.handle(message, now_s))
-        if isinstance(message, Heartbeat):
-            self._compare(message.digest, message.record.peer_address)
-        elif isinstance(message, ObjectDigest):
-            self._compare(message.versions, message.sender_address)
-        elif isinstance(message, ObjectPull):
-            for push in self._objects.select(message.keys):
-                self._peers.send(message.sender_address, push)
-        elif isinstance(message, ObjectPush):
-            self.receive_object(StoredObject(message.key, message.version, message.value))
+        self._send(self._replication.handle(message, self._clock.now_s()))
         for stream in self._message_subscriptions.get(type(message), ()):
             self._offer(stream, message)
 
-    def _compare(self, versions: Mapping[str, int], address: str) -> None:
-        """Pull what a peer has newer, or tell it what it lacks."""
-        if self._objects.is_behind(versions):
-            keys = self._objects.start_pull(versions, self._clock.now_s())
-            if keys:
-                pull = ObjectPull(sender_address=self._settings.listen.peers, keys=keys)
-                self._peers.send(address, pull)
-        elif versions != self._objects.digest():
-            self._peers.send(address, self._own_digest())
-
     async def _tick_forever(self) -> None:
         while True:
             now_s = self._clock.now_s()
-            self._send(self._membership.tick(now_s))
+            self._send(self._replication.tick(now_s))
             self._wake = anyio.Event()
             with anyio.move_on_after(max(0.0, self._membership.next_due_s - now_s)):
                 await self._wake.wait()
--- /dev/null
+++ b/lab/fleet.py
@@ -0,0 +1,199 @@
+"""Drive the membership and object code of a whole fleet on a virtual clock."""
+
+import heapq
+import time
+from collections.abc import Sequence
+from random import Random
+
+import attrs
+
+from berylchute import messages
+from berylchute.membership import Membership, Outgoing
+from berylchute.messages import MemberRecord, Message
+from berylchute.objects import ObjectReplica
+from berylchute.replication import Replication
+from berylchute.types import MemberState, StoredObject
+
+__all__ = ["NetworkFaults", "VirtualFleet", "VirtualHost", "record_of"]
+
+
+@attrs.define
+class NetworkFaults:
+    """Probabilities per message, and the range of delays in seconds."""
+
+    loss: float = 0.0
+    duplication: float = 0.0
+    delay_min_s: float = 0.0015
+    delay_max_s: float = 0.012
+
+
+@attrs.define(eq=False)
+class VirtualHost:
+    """One process of the fleet and its counters."""
+
+    replication: Replication
+    history: list[int]
+    paused_until_s: float = 0.0
+    is_up: bool = True
+    sent_messages: int = 0
+    sent_bytes: int = 0
+    received_messages: int = 0
+    received_bytes: int = 0
+    cpu_s: float = 0.0
+
+    @property
+    def name(self) -> str:
+        """Return the host id."""
+        return self.replication.membership.record.host_id
+
+    @property
+    def zone(self) -> str:
+        """Return the availability zone."""
+        return self.replication.membership.record.availability_zone
+
+    def state_of(self, host_id: str) -> MemberState | None:
+        """Return the state that this process assigns to a member."""
+        for status in self.replication.membership.statuses():
+            if status.record.host_id == host_id:
+                return status.state
+        return None
+
+
+@attrs.frozen(order=True)
+class _Event:
+    at_s: float
+    number: int
+    address: str
+    incarnation: int = attrs.field(order=False)
+    frames: list[bytes] | None = attrs.field(order=False, default=None)
+
+
+def record_of(host_id: str, zone: str, region: str, incarnation: int) -> MemberRecord:
+    """Return a record with fields of the usual length; the peer address is the host id."""
+    return MemberRecord(
+        host_id=host_id,
+        position=host_id,
+        availability_zone=zone,
+        region=region,
+        role="entry",
+        incarnation=incarnation,
+        sequence=0,
+        leaving=False,
+        ready=True,
+        http_url="http://127.0.0.1:18000",
+        peer_address=host_id,
+        owner_epoch=1,
+        settled_version=1,
+        config_version=0,
+        free_units={"saldo": 9, "libro-anticipos": 8, "archivo-recibos": 3},
+    )
+
+
+class VirtualFleet:
+    """Run hosts, their messages and faults in virtual time."""
+
+    def __init__(self, seed: int, faults: NetworkFaults | None = None) -> None:
+        self.now_s = 100.0
+        self.rng = Random(seed)
+        self.faults = faults or NetworkFaults()
+        self.hosts: dict[str, VirtualHost] = {}
+        self.blocked: set[tuple[str, str]] = set()
+        self._events: list[_Event] = []
+        self._number = 0
+        self._incarnation = 1_700_000_000_000
+
+    def start(self, host_id: str, zone: str, region: str, seeds: Sequence[str]) -> VirtualHost:
+        """Start a process; one of the same name is replaced, and forgets everything."""
+        self._incarnation += 1
+        record = record_of(host_id, zone, region, self._incarnation)
+        membership = Membership(record, seeds, Random(self.rng.random()), self.now_s)
+        history: list[int] = []
+
+        def changed(stored: StoredObject) -> None:
+            if stored.key == "config":
+                history.append(stored.version)
+
+        host = VirtualHost(Replication(membership, ObjectReplica(), changed), history)
+        self.hosts[host_id] = host
+        self._push(self.now_s + self.rng.uniform(0.0, 0.05), host_id, None)
+        return host
+
+    def stop(self, host_id: str) -> None:
+        """Kill a process without notice."""
+        self.hosts[host_id].is_up = False
+
+    def pause(self, host_id: str, duration_s: float) -> None:
+        """Stop a process for a time; its messages wait for it."""
+        self.hosts[host_id].paused_until_s = self.now_s + duration_s
+
+    def give(self, host_id: str, version: int, value: bytes = b"{}") -> None:
+        """Hand a configuration version to one host, as the store or an operator does."""
+        host = self.hosts[host_id]
+        stored = StoredObject(key="config", version=version, value=value)
+        self._send(host, host.replication.take(stored))
+
+    def leave(self, host_id: str) -> None:
+        """Let a process announce that it leaves."""
+        host = self.hosts[host_id]
+        self._send(host, host.replication.membership.leave(self.now_s))
+
+    def run(self, duration_s: float) -> None:
+        """Advance the virtual clock."""
+        end_s = self.now_s + duration_s
+        while self._events and self._events[0].at_s <= end_s:
+            event = heapq.heappop(self._events)
+            self.now_s = max(self.now_s, event.at_s)
+            self._step(event)
+        self.now_s = end_s
+
+    def up(self) -> list[VirtualHost]:
+        """Return the running hosts."""
+        return [host for host in self.hosts.values() if host.is_up]
+
+    def _step(self, event: _Event) -> None:
+        host = self.hosts.get(event.address)
+        if host is None or not host.is_up:
+            return
+        record = host.replication.membership.record
+        if event.frames is None and event.incarnation != record.incarnation:
+            return
+        if host.paused_until_s > self.now_s:
+            self._push(host.paused_until_s, event.address, event.frames)
+            return
+        started_s = time.process_time()
+        if event.frames is None:
+            out = host.replication.tick(self.now_s)
+        else:
+            host.received_messages += 1
+            host.received_bytes += sum(map(len, event.frames))
+            out = host.replication.handle(messages.decode(event.frames), self.now_s)
+        self._send(host, out)
+        host.cpu_s += time.process_time() - started_s
+        if event.frames is None:
+            due_s = host.replication.membership.next_due_s
+            self._push(max(due_s, self.now_s + 0.001), event.address, None)
+
+    def _send(self, host: VirtualHost, out: Sequence[Outgoing]) -> None:
+        last: Message | None = None
+        frames: list[bytes] = []
+        for outgoing in out:
+            if outgoing.message is not last:
+                last, frames = outgoing.message, messages.encode(outgoing.message)
+            host.sent_messages += 1
+            host.sent_bytes += sum(map(len, frames))
+            self._transmit(host, outgoing.address, frames)
+
+    def _transmit(self, host: VirtualHost, address: str, frames: list[bytes]) -> None:
+        target = self.hosts.get(address)
+        if target is None or (host.zone, target.zone) in self.blocked:
+            return
+        copies = 1 + (self.rng.random() < self.faults.duplication)
+        for _ in range(copies):
+            if self.rng.random() >= self.faults.loss:
+                delay_s = self.rng.uniform(self.faults.delay_min_s, self.faults.delay_max_s)
+                self._push(self.now_s + delay_s, address, frames)
+
+    def _push(self, at_s: float, address: str, frames: list[bytes] | None) -> None:
+        self._number += 1
+        incarnation = self.hosts[address].replication.membership.record.incarnation
+        heapq.heappush(self._events, _Event(at_s, self._number, address, incarnation, frames))
