--- a/lab/launcher.py
+++ b/lab/launcher.py
@@ -107,7 +107,7 @@
         port = free_ports(1)[0]
         self.store_url = f"http://127.0.0.1:{port}"
         self.start_process("store", ["-m", "lab.store_standin", "--port", str(port)])
-        self._await_http("store", f"{self.store_url}/control")
+        self.await_http("store", f"{self.store_url}/control")
         answer = call(
             "PUT",
             f"{self.store_url}/objects/config",
@@ -127,7 +127,7 @@
             self.control_urls[region.name] = f"http://127.0.0.1:{spec.control_port}"
             self.start_process(name, ["-m", "lab.server_standin", "--spec", str(spec_file)])
         for region_name, url in self.control_urls.items():
-            self._await_http(f"servers-{region_name}", f"{url}/stats")
+            self.await_http(f"servers-{region_name}", f"{url}/stats")
 
     def _server_specs(self, region: str) -> tuple[ServerSpec, ...]:
         return tuple(
@@ -168,7 +168,7 @@
             self._start_host(item)
         if ready:
             for item in chosen:
-                self._await_http(item.name, f"{self.host_urls[item.name]}/readyz")
+                self.await_http(item.name, f"{self.host_urls[item.name]}/readyz")
 
     def _start_host(self, position: HostPosition) -> None:
         run = self._generation.get(position.name, 0)
@@ -189,7 +189,7 @@
         zone = self.lists.availability_zones[0].name
         settings = self._settings("i-locator-0", "", zone, http_port, peer_port)
         self._launch("locator", "berylchute.locatord", "i-locator-0", settings)
-        self._await_http("locator", f"{self.locator_url}/readyz")
+        self.await_http("locator", f"{self.locator_url}/readyz")
 
     def _launch(self, name: str, module: str, host_id: str, settings: dict[str, Any]) -> None:
         self.list_host(host_id, "live")
@@ -267,7 +267,8 @@
             rows += call_json("GET", f"{url}/links")
         return rows
 
-    def _await_http(self, name: str, url: str) -> None:
+    def await_http(self, name: str, url: str, status: int = 200) -> None:
+        """Wait until a process answers; raise RuntimeError with its last lines."""
         process = self.processes[name]
 
         def answers() -> bool:
@@ -276,7 +277,7 @@
                     f"{name} ended with {process.popen.returncode}:\n{process.log_tail()}"
                 )
             with suppress(httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError):
-                return call("GET", url, timeout_s=1.0).status == 200
+                return call("GET", url, timeout_s=1.0).status == status
             return False
 
         try:
@@ -301,6 +302,14 @@
         """Ask a process to shut down gracefully; do not wait."""
         self.processes[name].send_signal(signal.SIGTERM)
 
+    def push_object(self, position: str, key: str, version: int, value: bytes) -> None:
+        """Push an accepted object to an entry host as `berylchutectl` does."""
+        headers = {
+            "Authorization": f"Bearer {OPERATOR_TOKEN}",
+            "Berylchute-Version": str(version),
+        }
+        call("PUT", f"{self.host_urls[position]}/berylchute/v1/objects/{key}", value, headers)
+
     def stop(self) -> None:
         """End every process and remove the temporary directory."""
         hosts = [p for name, p in self.processes.items() if name in self.host_urls]
--- /dev/null
+++ b/lab/measure.py
@@ -0,0 +1,71 @@
+"""Run one scenario and its baseline; print the report as the last line."""
+
+import argparse
+import fcntl
+import sys
+import tempfile
+import time
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
+from pathlib import Path
+
+from lab.scenario import Options, Report, Scenario
+from lab.scenarios.overhead import overhead
+from lab.workload import WORKLOADS
+
+__all__ = ["SCENARIOS", "main"]
+
+SCENARIOS: Mapping[str, Scenario] = {
+    "overhead": overhead,
+}
+LOCK_FILE = Path(tempfile.gettempdir()) / "berylchute-lab.lock"
+
+
+@contextmanager
+def exclusive_run() -> Iterator[None]:
+    """Wait for other measurements on this machine, as they would disturb each other."""
+    with LOCK_FILE.open("a") as lock:
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            print("waiting for another measurement to end", file=sys.stderr)
+            fcntl.flock(lock, fcntl.LOCK_EX)
+        yield
+
+
+def _print_text(report: Report) -> None:
+    for title, figures in (("figures", report.figures), ("baseline", report.baseline)):
+        print(title)
+        for name, value in figures.items():
+            print(f"  {name:<40} {value:g}")
+    for target in report.targets:
+        verdict = "met" if target.met else "MISSED"
+        print(f"target {target.name} {target.op} {target.bound:g}: {target.value:g} {verdict}")
+
+
+def main() -> int:
+    """Return 0 when the scenario ran, whether or not its targets are met."""
+    parser = argparse.ArgumentParser(prog="lab.measure", description=__doc__)
+    parser.add_argument("scenario", nargs="?", choices=sorted(SCENARIOS))
+    parser.add_argument("--list", action="store_true", help="list the scenarios")
+    parser.add_argument("--deployment", choices=sorted(WORKLOADS), default="cooperativa")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--output", choices=("text", "json"), default="text")
+    arguments = parser.parse_args()
+    if arguments.list:
+        print("\n".join(SCENARIOS))
+        return 0
+    if arguments.scenario is None:
+        parser.error("name a scenario, or use --list")
+    with exclusive_run():
+        started_s = time.monotonic()
+        report = SCENARIOS[arguments.scenario](Options(arguments.deployment, arguments.seed))
+        print(f"ran {time.monotonic() - started_s:.0f} s", file=sys.stderr)
+    if arguments.output == "text":
+        _print_text(report)
+    print(report.to_json())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/lab/scenario.py
@@ -0,0 +1,192 @@
+"""Form of a scenario's result, and what scenarios share."""
+
+from collections.abc import Callable, Mapping, Sequence
+from typing import Literal, Protocol
+
+import attrs
+import msgspec
+
+from berylchute.config import Configuration
+from lab.backend import Profile
+from lab.caller import CallerSpec
+from lab.launcher import Deployment, read_lists
+from lab.load import LoadResult
+from lab.passthrough import PassThroughSpec
+from lab.processes import free_ports
+from lab.workload import WORKLOADS, Workload, spread_blocks
+
+__all__ = [
+    "Figures",
+    "Options",
+    "Report",
+    "Scenario",
+    "Target",
+    "at_least",
+    "at_most",
+    "call_figures",
+    "cap_figures",
+    "latency_figures",
+    "ratio",
+    "start_deployment",
+    "start_passthrough",
+]
+
+Figures = dict[str, float]
+
+
+@attrs.frozen
+class Options:
+    """Arguments of one measurement."""
+
+    deployment: str
+    seed: int
+
+    @property
+    def workload(self) -> Workload:
+        """Return the deployment's kinds of work."""
+        return WORKLOADS[self.deployment]
+
+    def lists(self) -> Configuration:
+        """Return the deployment's lists for the lab."""
+        return spread_blocks(read_lists(self.deployment))
+
+
+@attrs.frozen
+class Target:
+    """One target with the measured value."""
+
+    name: str
+    value: float
+    bound: float
+    op: Literal["<=", ">=", "=="]
+    met: bool
+
+
+@attrs.frozen
+class Report:
+    """The result of one scenario, printed as JSON."""
+
+    scenario: str
+    deployment: str
+    seed: int
+    figures: Figures
+    baseline: Figures
+    targets: tuple[Target, ...]
+
+    def to_json(self) -> str:
+        """Return the report as one line."""
+        return msgspec.json.encode(self).decode()
+
+
+class Scenario(Protocol):
+    """Run a scenario and its baseline."""
+
+    def __call__(self, options: Options) -> Report:
+        """Return the report."""
+        ...
+
+
+def at_most(name: str, value: float, bound: float) -> Target:
+    """Return a target with an upper bound."""
+    return Target(name, value, bound, "<=", value <= bound)
+
+
+def at_least(name: str, value: float, bound: float) -> Target:
+    """Return a target with a lower bound."""
+    return Target(name, value, bound, ">=", value >= bound)
+
+
+def ratio(value: float, base: float) -> float:
+    """Return a quotient; infinite when there is nothing to compare with."""
+    return round(value / base, 4) if base else float("inf")
+
+
+def latency_figures(prefix: str, result: LoadResult) -> Figures:
+    """Return counts and percentiles of a load result."""
+    figures: Figures = {
+        f"{prefix}_calls": len(result.records),
+        f"{prefix}_ok_share": round(result.ok_share(), 5),
+        f"{prefix}_p50_ms": round(result.percentile_ms(50), 2),
+        f"{prefix}_p99_ms": round(result.percentile_ms(99), 2),
+        f"{prefix}_load_lag_max_ms": round(result.lag_max_s * 1000, 1),
+    }
+    for name, count in result.outcomes().items():
+        if name != "ok":
+            figures[f"{prefix}_{name}"] = count
+    return figures
+
+
+def cap_figures(deployment: Deployment) -> Figures:
+    """Return peaks over caps of servers and regions, and how many exceeded their cap."""
+    servers = [row["peak"] / row["slots"] for row in deployment.server_stats()]
+    caps = {item.name: item.concurrent for item in deployment.lists.regions}
+    regions = [peak / caps[name] for name, peak in deployment.region_peaks().items()]
+    return {
+        "server_peak": round(max(servers, default=0.0), 4),
+        "region_peak": round(max(regions, default=0.0), 4),
+        "over_cap": sum(value > 1 for value in [*servers, *regions]),
+    }
+
+
+def call_figures(deployment: Deployment, result: LoadResult) -> Figures:
+    """Return counts of double runs, wrong answers and false statements that work did not run."""
+    runs = deployment.runs()
+    keyed = [item for item in result.records if item.kind not in ("lookup", "upload")]
+    return {
+        "double_runs": sum(runs.get(item.identity, 0) > 1 for item in keyed),
+        "wrong_answers": sum(item.outcome == "wrong" for item in result.records),
+        "false_not_run": sum(
+            item.outcome == "refused" and item.only_not_run and runs.get(item.identity, 0) > 0
+            for item in result.records
+        ),
+    }
+
+
+def start_deployment(
+    lists: Configuration,
+    profiles: Mapping[str, Profile],
+    options: Options,
+    *,
+    delays: bool = True,
+    prepare: Callable[[Deployment], None] | None = None,
+) -> Deployment:
+    """Start every process of a deployment; the caller must stop it."""
+    deployment = Deployment(lists, profiles, delays=delays, seed=options.seed)
+    try:
+        deployment.start_store()
+        deployment.start_servers()
+        if prepare is not None:
+            prepare(deployment)
+        deployment.start_hosts()
+        deployment.start_locator()
+    except BaseException:
+        deployment.stop()
+        raise
+    return deployment
+
+
+def start_passthrough(
+    deployment: Deployment,
+    policy: Literal["round_robin", "first_in_first_out"],
+    positions: Sequence[str] | None = None,
+) -> CallerSpec:
+    """Start pass-through hosts beside the deployment's; return callers that use only them."""
+    lists = deployment.lists
+    servers: dict[str, tuple[str, ...]] = {}
+    slots: dict[str, int] = {}
+    for item in lists.backend_servers:
+        servers[item.service] = (*servers.get(item.service, ()), item.address)
+        slots[item.service] = slots.get(item.service, 0) + item.slots
+    chosen = [p.name for p in lists.host_positions if positions is None or p.name in positions]
+    shares = {name: max(1, count // len(chosen)) for name, count in slots.items()}
+    urls = []
+    for position in chosen:
+        spec = PassThroughSpec(free_ports(1)[0], position, servers, shares, policy)
+        name = f"passthrough-{position}"
+        path = deployment.path / f"{name}.json"
+        path.write_bytes(msgspec.json.encode(spec))
+        deployment.start_process(name, ["-m", "lab.passthrough", "--spec", str(path)])
+        url = f"http://127.0.0.1:{spec.port}"
+        deployment.await_http(name, url, status=404)
+        urls.append(url)
+    return CallerSpec(fixed_urls=tuple(urls))
--- /dev/null
+++ b/lab/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""One module per scenario or small group of scenarios."""
