--- a/berylchute/dispatch.py
+++ b/berylchute/dispatch.py
@@ -40,6 +40,7 @@
     candidate: Candidate
     hold: Hold
     service: str
+    kind: str
     ended: bool = False
 
 
@@ -252,7 +253,7 @@
             size=work.kind.size,
             until_s=work.deadline_s,
             request_bytes=len(work.body) if isinstance(work.body, bytes) else 0,
-            expected_wait_s=queue.expected_wait_s(work.deadline_s) if is_waiting else 0.0,
+            expected_wait_s=queue.expected_wait_s(work.deadline_s, now_s) if is_waiting else 0.0,
             lower_plans_queued=queue.count_lower_plans(queued) if queued is not None else 0,
             may_move=may_move,
             excluded=excluded,
@@ -286,7 +287,7 @@
             self._reserve.record_start(item.resource)
         self._observer.record_sent(candidate.server, now_s)
         target = self._targets[candidate.server]
-        return HeldPlacement(target, now_s, candidate, hold, work.kind.service)
+        return HeldPlacement(target, now_s, candidate, hold, work.kind.service, work.kind.name)
 
     def _give_back(self, placement: HeldPlacement) -> None:
         if placement.ended:
@@ -301,7 +302,7 @@
         elapsed_s = now_s - placement.started_s
         if end is AttemptEnd.ANSWERED:
             self._observer.record_answer(server, elapsed_s, now_s)
-            self._queues[placement.service].record_finish(elapsed_s)
+            self._queues[placement.service].record_finish(placement.kind, elapsed_s, now_s)
         elif end is AttemptEnd.CANCELLED:
             self._observer.record_cancel(server, elapsed_s, now_s)
         elif end is AttemptEnd.NOT_SENT:
