--- /dev/null
+++ b/tests/test_idempotency.py
@@ -0,0 +1,239 @@
+"""Guard against non-idempotent work running twice, or being called not run when it ran."""
+
+from collections.abc import Callable
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from berylchute.idempotency import (
+    EPOCH_S,
+    Begin,
+    IdempotencyTable,
+    KeptAnswer,
+    OwnerToken,
+    RecordKey,
+    RecordState,
+    split_key,
+)
+
+ANSWER = KeptAnswer(200, (), b"done")
+OTHER = KeptAnswer(201, (), b"other")
+
+
+def _key(table: IdempotencyTable, text: str, now_s: float, customer: str = "a") -> RecordKey:
+    return table.key(customer, table.token(now_s), text)
+
+
+class AtMostOnce(RuleBasedStateMachine):
+    """Drive one owner with repeats, lost answers, pauses, crashes of runs and restarts."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 1000.0
+        self.incarnation = 1
+        self.table = IdempotencyTable("p", 1, self.now_s, records_max=6)
+        self.runs: dict[tuple[int, RecordKey], int] = {}
+        self.open: list[tuple[int, RecordKey]] = []
+        self.tokens: list[OwnerToken] = []
+
+    @rule()
+    def take_token(self) -> None:
+        """Let a caller keep a token for as long as it likes."""
+        self.tokens.append(self.table.token(self.now_s))
+
+    @precondition(lambda self: self.tokens)
+    @rule(data=st.data(), text=st.sampled_from("xy"), customer=st.sampled_from("ab"))
+    def request(self, data: st.DataObject, text: str, customer: str) -> None:
+        """Send or repeat a request with any token ever issued."""
+        token = data.draw(st.sampled_from(self.tokens))
+        if not self.table.owns(token):
+            return
+        key = self.table.key(customer, token, text)
+        result = self.table.begin(key, b"digest", self.now_s)
+        ran = self.runs.get((self.incarnation, key), 0)
+        if result.action is Begin.RUN:
+            assert ran == 0
+            assert (self.incarnation, key) not in self.open
+            self.open.append((self.incarnation, key))
+        elif result.action in (Begin.TABLE_FULL, Begin.OWNER_REQUIRED):
+            # These are reported as not run.
+            assert ran == 0
+
+    @precondition(lambda self: self.open)
+    @rule(data=st.data(), fate=st.sampled_from(["answer", "lost", "not_sent", "shed_then_ran"]))
+    def finish(self, data: st.DataObject, fate: str) -> None:
+        """Dispatch a request whose permission may be old, and end it."""
+        run = data.draw(st.sampled_from(self.open))
+        self.open.remove(run)
+        incarnation, key = run
+        if incarnation != self.incarnation or not self.table.mark_dispatched(key):
+            return
+        if fate in ("not_sent", "shed_then_ran"):
+            self.table.mark_not_sent(key)
+            if fate == "not_sent" or not self.table.mark_dispatched(key):
+                self.table.mark_unknown(key)
+                self.table.mark_refused(key)
+                return
+        self.runs[run] = self.runs.get(run, 0) + 1
+        if fate == "lost":
+            self.table.mark_unknown(key)
+        else:
+            self.table.mark_answered(key, ANSWER)
+        self.table.mark_refused(key)
+
+    @rule(seconds=st.sampled_from([1.0, 0.4 * EPOCH_S, EPOCH_S, 2.5 * EPOCH_S]))
+    def pause(self, seconds: float) -> None:
+        """Let time pass, as a paused process sees it."""
+        self.now_s += seconds
+
+    @rule()
+    def restart(self) -> None:
+        """Replace the process; its memory is gone and its tokens are not owned any more."""
+        self.incarnation += 1
+        self.table = IdempotencyTable("p", self.incarnation, self.now_s, records_max=6)
+
+    @invariant()
+    def runs_once(self) -> None:
+        """No key of any incarnation ran twice."""
+        assert all(count <= 1 for count in self.runs.values())
+
+    @invariant()
+    def stays_bounded(self) -> None:
+        """The table never exceeds its bound."""
+        assert len(self.table) <= 6
+
+
+TestAtMostOnce = AtMostOnce.TestCase
+TestAtMostOnce.settings = settings(max_examples=60, stateful_step_count=30)
+
+
+def _answered(table: IdempotencyTable, key: RecordKey) -> None:
+    table.mark_dispatched(key)
+    table.mark_answered(key, ANSWER)
+
+
+def _unknown(table: IdempotencyTable, key: RecordKey) -> None:
+    table.mark_dispatched(key)
+    table.mark_unknown(key)
+
+
+def _not_run(table: IdempotencyTable, key: RecordKey) -> None:
+    table.mark_dispatched(key)
+    table.mark_not_sent(key)
+    table.mark_refused(key)
+
+
+@pytest.mark.parametrize(
+    ("end", "expected"),
+    [
+        (lambda table, key: None, Begin.WAIT),
+        (lambda table, key: table.mark_dispatched(key), Begin.WAIT),
+        (_answered, Begin.REPLAY),
+        (_unknown, Begin.OUTCOME_UNKNOWN),
+        (_not_run, Begin.RUN),
+    ],
+)
+def test_a_repeat_follows_the_state(
+    end: Callable[[IdempotencyTable, RecordKey], object], expected: Begin
+) -> None:
+    """Guard against a repeat that runs, waits or replays in the wrong state."""
+    table = IdempotencyTable("p", 1, 0.0)
+    key = _key(table, "x", 0.0)
+    assert table.begin(key, b"d", 0.0).action is Begin.RUN
+    end(table, key)
+    assert table.begin(key, b"d", 1.0).action is expected
+
+
+def test_an_answer_is_never_replaced() -> None:
+    """Guard against a late second outcome changing what repeats are told."""
+    table = IdempotencyTable("p", 1, 0.0)
+    key = _key(table, "x", 0.0)
+    table.begin(key, b"d", 0.0)
+    _answered(table, key)
+    table.mark_answered(key, OTHER)
+    table.mark_unknown(key)
+    table.mark_refused(key)
+    assert table.begin(key, b"d", 1.0).answer == ANSWER
+
+
+def test_another_body_does_not_get_the_answer() -> None:
+    """Guard against a reused key returning the answer to another request."""
+    table = IdempotencyTable("p", 1, 0.0)
+    key = _key(table, "x", 0.0)
+    table.begin(key, b"d", 0.0)
+    _answered(table, key)
+    assert table.begin(key, b"e", 1.0).action is Begin.KEY_REUSED
+
+
+def test_customers_do_not_share_keys() -> None:
+    """Guard against one customer reading another's answer by guessing its key."""
+    table = IdempotencyTable("p", 1, 0.0)
+    key = _key(table, "x", 0.0, "a")
+    table.begin(key, b"d", 0.0)
+    _answered(table, key)
+    assert table.begin(_key(table, "x", 0.0, "b"), b"d", 0.0).action is Begin.RUN
+
+
+def test_an_expired_key_does_not_run() -> None:
+    """Guard against a second run after the first record was dropped."""
+    table = IdempotencyTable("p", 1, 0.0)
+    key = _key(table, "x", 0.0)
+    table.begin(key, b"d", 0.0)
+    table.mark_dispatched(key)
+    later_s = 2 * EPOCH_S
+    assert table.begin(key, b"d", later_s).action is Begin.KEY_EXPIRED
+    assert len(table) == 0
+    assert table.state(key) is None
+
+
+def test_a_permission_older_than_its_record_is_void() -> None:
+    """Guard against a paused process dispatching after its record expired."""
+    table = IdempotencyTable("p", 1, 0.0)
+    key = _key(table, "x", 0.0)
+    table.begin(key, b"d", 0.0)
+    table.begin(_key(table, "y", 3 * EPOCH_S), b"d", 3 * EPOCH_S)
+    assert not table.mark_dispatched(key)
+
+
+def test_a_token_from_the_future_is_not_run() -> None:
+    """Guard against a forged token opening a record that outlives the others."""
+    table = IdempotencyTable("p", 1, 0.0)
+    assert table.begin(("a", 7, "x"), b"d", 0.0).action is Begin.OWNER_REQUIRED
+
+
+def test_a_full_table_refuses_new_keys_only() -> None:
+    """Guard against a full table forgetting a key that ran."""
+    table = IdempotencyTable("p", 1, 0.0, records_max=1)
+    key = _key(table, "x", 0.0)
+    table.begin(key, b"d", 0.0)
+    _answered(table, key)
+    assert table.begin(_key(table, "y", 0.0), b"d", 0.0).action is Begin.TABLE_FULL
+    assert table.begin(key, b"d", 0.0).action is Begin.REPLAY
+
+
+def test_a_dispatched_record_is_not_refused() -> None:
+    """Guard against work that may have run being opened for a second run."""
+    table = IdempotencyTable("p", 1, 0.0)
+    key = _key(table, "x", 0.0)
+    table.begin(key, b"d", 0.0)
+    table.mark_dispatched(key)
+    table.mark_refused(key)
+    assert table.state(key) is RecordState.DISPATCHED
+
+
+@given(st.text(max_size=20), st.integers(0, 2**63), st.integers(0, 2**31), st.text(min_size=1))
+def test_owner_tokens_survive_the_wire(
+    position: str, incarnation: int, epoch: int, text: str
+) -> None:
+    """Guard against a token naming another owner after it was parsed."""
+    token = OwnerToken("p" + position.replace(":", ""), incarnation, epoch)
+    parsed, own_text = split_key(f"{token}:{text[:100]}")
+    assert (parsed, own_text) == (token, text[:100])
+
+
+@pytest.mark.parametrize("key", ["", "abc", "p.1:x", "p.1.x:k", "p.01.0:k", "p.1.0:", ".1.0:k"])
+def test_malformed_owners_are_not_owners(key: str) -> None:
+    """Guard against a key without an owner being run as if it had one."""
+    assert split_key(key)[0] is None
