Let the load tool end its closed loops

Cause: finished closed loops stayed in the set of awaited tasks, so the process never ended. Change: await the tasks that are left once.

--- a/lab/load.py
+++ b/lab/load.py
@@ -176,8 +176,7 @@
             task = asyncio.create_task(self._send(kind, at_s))
             tasks.add(task)
             task.add_done_callback(tasks.discard)
-        while tasks:
-            await asyncio.wait(tasks)
+        await asyncio.gather(*tasks)
         await self._caller.aclose()
         return LoadResult(spec.start_s, spec.duration_s, tuple(self._records), self._lag_max_s)
 
