--- a/lab/measure.py
+++ b/lab/measure.py
@@ -2,6 +2,7 @@
 
 import argparse
 import fcntl
+import os
 import sys
 import tempfile
 import time
@@ -11,12 +12,17 @@
 
 from lab.scenario import Options, Report, Scenario
 from lab.scenarios.overhead import overhead
+from lab.scenarios.overload import overload
+from lab.scenarios.tail import mixed_sizes, slowed_servers
 from lab.workload import WORKLOADS
 
 __all__ = ["SCENARIOS", "main"]
 
 SCENARIOS: Mapping[str, Scenario] = {
     "overhead": overhead,
+    "slowed_servers": slowed_servers,
+    "mixed_sizes": mixed_sizes,
+    "overload": overload,
 }
 LOCK_FILE = Path(tempfile.gettempdir()) / "berylchute-lab.lock"
 
@@ -60,6 +66,8 @@
     with exclusive_run():
         started_s = time.monotonic()
         report = SCENARIOS[arguments.scenario](Options(arguments.deployment, arguments.seed))
+        # Work of others on the machine shows here; it lengthens tails of both systems.
+        report.figures["machine_load_1_min"] = round(os.getloadavg()[0], 1)
         print(f"ran {time.monotonic() - started_s:.0f} s", file=sys.stderr)
     if arguments.output == "text":
         _print_text(report)
