Add declared drains and the drain commands

Operations.edit takes an idempotent change instead of searching for an edit id, and tells an unknown outcome from a conflict.

--- a/berylchute/ctl.py
+++ b/berylchute/ctl.py
@@ -1,14 +1,13 @@
 """Offer the operators' command line `berylchutectl`."""
 
 from pathlib import Path
-from typing import Annotated
 
-import attrs
 import cyclopts
-from cyclopts import App, Parameter
+from cyclopts import App
 
-from berylchute import __version__, commands, config, operations
+from berylchute import __version__, commands, config, drainctl, operations
 from berylchute.commands import EXIT_BAD_INPUT, EXIT_DONE, EXIT_UNKNOWN, Session
+from berylchute.ctlcommon import COMMON, Common
 from berylchute.exceptions import BerylchuteError, CommandError
 from berylchute.rendering import Output, Renderer
 
@@ -19,18 +18,9 @@
     help="Steer traffic: edit the configuration, declare shifts and drains, see where it is slow.",
     version=__version__,
 )
+app.command(drainctl.app)
 
 
-@Parameter(name="*")
-@attrs.frozen
-class Common:
-    """Options that every command takes."""
-
-    settings: Annotated[Path | None, Parameter(help="Settings file (TOML).")] = None
-    output: Annotated[Output, Parameter(help="Form of the result.")] = Output.TABLE
-
-
-COMMON = Common()
 HOST_COLUMNS = (
     "host_id",
     "position",
--- /dev/null
+++ b/berylchute/drainctl.py
@@ -0,0 +1,130 @@
+"""Offer `berylchutectl drain` commands."""
+
+from typing import Annotated
+
+import attrs
+from cyclopts import App, Parameter
+
+from berylchute import commands, config, drains, impact, operations
+from berylchute.commands import EXIT_DONE, Session
+from berylchute.ctlcommon import COMMON, Common
+from berylchute.drains import DRAINS_KEY, Drain, DrainState, DrainTarget
+from berylchute.exceptions import CommandError, ConfigError
+
+__all__ = ["app"]
+
+app = App(name="drain", help="Take servers, hosts, availability zones or regions out of use.")
+
+
+def _check_target(document: config.Configuration, target: DrainTarget, name: str) -> None:
+    tables = {
+        DrainTarget.SERVER: document.backend_servers,
+        DrainTarget.HOST: document.host_positions,
+        DrainTarget.AVAILABILITY_ZONE: document.availability_zones,
+        DrainTarget.REGION: document.regions,
+    }
+    known = sorted(entry.name for entry in tables[target])  # type: ignore[attr-defined]
+    if name not in known:
+        raise CommandError(f"unknown {target}: {name!r}; allowed: {', '.join(known)}")
+
+
+@app.command
+def start(
+    target: DrainTarget,
+    name: str,
+    *,
+    dry_run: Annotated[bool, Parameter(help="Show the effect on headroom only.")] = False,
+    common: Common = COMMON,
+) -> int:
+    """Declare a drain: no new work within 2 s, work in flight finishes."""
+
+    async def command(session: Session) -> int:
+        document, _ = await session.operations.get()
+        _check_target(document, target, name)
+        if dry_run:
+            after = impact.without_target(document, target.value, name)
+            await session.show_impact(document, after)
+            return EXIT_DONE
+        drain = Drain(
+            id=operations.new_edit_id(),
+            target=target,
+            name=name,
+            author=session.operations.author,
+            declared_at=session.operations.wall_time(),
+        )
+        await session.operations.edit(
+            DRAINS_KEY,
+            lambda value: drains.encode(drains.declare(drains.decode(value), drain)),
+        )
+        session.renderer.record("drain declared", drain)
+        return EXIT_DONE
+
+    return commands.run(common.settings, common.output, command)
+
+
+@app.command(name="list")
+def list_drains(
+    *,
+    everything: Annotated[bool, Parameter(name="--all", help="Stopped drains too.")] = False,
+    common: Common = COMMON,
+) -> int:
+    """List drains in force."""
+
+    async def command(session: Session) -> None:
+        stored = await session.operations.read(DRAINS_KEY)
+        declared = drains.decode(None if stored is None else stored.value)
+        shown = [d for d in declared if everything or d.state is DrainState.DRAINING]
+        session.renderer.rows("drains", shown)
+
+    return commands.run(common.settings, common.output, command)
+
+
+@app.command
+def show(drain_id: str, *, common: Common = COMMON) -> int:
+    """Show one drain and the requests still in flight on what it drains."""
+
+    async def command(session: Session) -> None:
+        drain = await _find(session, drain_id)
+        document, _ = await session.operations.get()
+        after = impact.without_target(document, drain.target.value, drain.name)
+        gone = {s.name for s in document.backend_servers} - {s.name for s in after.backend_servers}
+        in_use = await session.in_use_by_server()
+        in_flight = sum(in_use.get(server, 0) for server in gone)
+        record = {**attrs.asdict(drain), "servers": len(gone), "slots_in_use": in_flight}
+        session.renderer.record(f"drain {drain_id}", record)
+
+    return commands.run(common.settings, common.output, command)
+
+
+@app.command
+def stop(
+    drain_id: str,
+    *,
+    dry_run: Annotated[bool, Parameter(help="Show the effect on headroom only.")] = False,
+    common: Common = COMMON,
+) -> int:
+    """Put what a drain took out of use back to use."""
+
+    async def command(session: Session) -> int:
+        drain = await _find(session, drain_id)
+        if dry_run:
+            document, _ = await session.operations.get()
+            before = impact.without_target(document, drain.target.value, drain.name)
+            await session.show_impact(before, document)
+            return EXIT_DONE
+        await session.operations.edit(
+            DRAINS_KEY,
+            lambda value: drains.encode(drains.stop(drains.decode(value), drain_id)),
+        )
+        session.renderer.record("drain stopped", attrs.evolve(drain, state=DrainState.STOPPED))
+        return EXIT_DONE
+
+    return commands.run(common.settings, common.output, command)
+
+
+async def _find(session: Session, drain_id: str) -> Drain:
+    stored = await session.operations.read(DRAINS_KEY)
+    for drain in drains.decode(None if stored is None else stored.value):
+        if drain.id == drain_id:
+            return drain
+    raise ConfigError(f"drain {drain_id!r} does not exist; see `berylchutectl drain list --all`")
--- a/berylchute/operations.py
+++ b/berylchute/operations.py
@@ -31,6 +31,7 @@
     "InvalidDocument",
     "Operations",
     "UnreachableError",
+    "new_edit_id",
 ]
 
 CONFIG_KEY = "config"
@@ -115,7 +116,8 @@
         ...
 
 
-def _new_edit_id() -> str:
+def new_edit_id() -> str:
+    """Return an id that tells an edit from all others."""
     return uuid.uuid4().hex
 
 
@@ -141,8 +143,8 @@
         """Keep the store, the hosts that accepted edits are pushed to, and the author's name."""
         self._store = store
         self._hosts = hosts
-        self._author = author
-        self._wall_time = wall_time
+        self.author = author
+        self.wall_time = wall_time
 
     async def read(self, key: str) -> StoredObject | None:
         """Return a store object; raise UnreachableError."""
@@ -188,9 +190,9 @@
         edited = attrs.evolve(
             document,
             generation=generation + 1,
-            edit_id=_new_edit_id(),
-            edit_author=self._author,
-            edit_time=self._wall_time(),
+            edit_id=new_edit_id(),
+            edit_author=self.author,
+            edit_time=self.wall_time(),
         )
         if current is not None:
             # The entry of the edit being replaced must be in the history before it is replaced:
@@ -203,37 +205,46 @@
         await self._record_quietly(outcome.version, edited)
         return attrs.evolve(outcome, pushed_hosts=pushed)
 
-    async def edit(
-        self, key: str, edit_id: str, change: Callable[[bytes | None], bytes]
-    ) -> StoredObject:
+    async def edit(self, key: str, change: Callable[[bytes | None], bytes]) -> StoredObject:
         """Change an object by conditional updates until one is accepted.
 
-        `change` must be idempotent and put `edit_id` into the value. Raises UnreachableError,
-        EditOutcomeUnknown or ConflictError after repeated conflicts.
+        `change` must be idempotent: applied to a value that has the change, it returns that
+        value. Raises UnreachableError, EditOutcomeUnknown, or ConflictError after repeated
+        conflicts.
         """
+        is_unknown = False
         for _ in range(READ_BACK_ATTEMPTS):
-            current = await self.read(key)
-            if current is not None and edit_id.encode() in current.value:
-                return current
+            current = await self._read_for_edit(key, is_unknown)
             value = change(None if current is None else current.value)
-            version = 0 if current is None else current.version
+            if current is not None and current.value == value:
+                await self._hosts.push(current)
+                return current
             try:
-                stored = await self._store.put(key, value, version)
+                stored = await self._store.put(
+                    key, value, 0 if current is None else current.version
+                )
             except StoreConflict:
                 continue
             except StoreOutcomeUnknown:
+                is_unknown = True
                 await anyio.sleep(READ_BACK_DELAY_S)
-                try:
-                    await self._store.get(key)
-                except StoreError as error:
-                    raise EditOutcomeUnknown(f"edit {edit_id} of {key}: {error}") from error
                 continue
             except StoreError as error:
                 raise UnreachableError(f"write {key}: {error}") from error
             await self._hosts.push(stored)
             return stored
+        if is_unknown:
+            raise EditOutcomeUnknown(f"{key}: no answer to {READ_BACK_ATTEMPTS} writes")
         raise ConflictError(key, "the version read", "a newer version after every try")
 
+    async def _read_for_edit(self, key: str, is_unknown: bool) -> StoredObject | None:
+        try:
+            return await self.read(key)
+        except UnreachableError as error:
+            if is_unknown:
+                raise EditOutcomeUnknown(f"{key}: {error}") from error
+            raise
+
     async def _write_config(self, edited: Configuration, expected_version: int) -> EditOutcome:
         accepted = EditOutcome(CONFIG_KEY, 0, edited.generation, edited.edit_id, EditState.ACCEPTED)
         value = config.encode_json(edited)
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -133,3 +133,22 @@
     rows = json.loads(capsys.readouterr().out)
     assert [row["slots_after"] - row["slots_before"] for row in rows] == [3]
     assert store.revision == before
+
+
+def test_drain_is_declared_shown_and_stopped(
+    store: FakeStore, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against drains that are lost between commands or never end."""
+    call("apply", str(LISTS))
+    assert call("drain", "start", "server", "no-such-server") == 2
+    assert call("drain", "start", "region", "occidente", "--dry-run") == 0
+    assert "drains" not in store.objects
+    capsys.readouterr()
+    assert call("drain", "start", "server", "saldo-01", "--output", "json") == 0
+    drain_id = json.loads(capsys.readouterr().out)["id"]
+    assert call("drain", "show", drain_id) == 0
+    assert call("drain", "stop", drain_id) == 0
+    capsys.readouterr()
+    assert call("drain", "list", "--output", "json") == 0
+    assert json.loads(capsys.readouterr().out) == []
+    assert call("drain", "stop", "no-such-drain") == 2
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -130,7 +130,14 @@
     setattr(store, fault, 1)
 
     def add(value: bytes | None) -> bytes:
-        return (value or b"") + b"[edit-1]"
+        return value if value and b"[drain]" in value else (value or b"") + b"[drain]"
 
-    stored = run(lambda: make(store).edit("drains", "edit-1", add))
-    assert stored.value == b"[edit-1]"
+    stored = run(lambda: make(store).edit("drains", add))
+    assert stored.value == b"[drain]"
+
+
+def test_small_edit_without_read_back_is_unknown(store: FakeStore) -> None:
+    """Guards against a declared drain that is reported as not written."""
+    store.lose_answers, store.down_after_lost_answer = 1, True
+    with pytest.raises(operations.EditOutcomeUnknown):
+        run(lambda: make(store).edit("drains", lambda value: b"[drain]"))
