--- a/berylchute/intake.py
+++ b/berylchute/intake.py
@@ -123,8 +123,9 @@
             intake.forwarded_by = value.decode("latin-1")
     if size > limits.header_bytes_max:
         raise _refuse(f"headers exceed {limits.header_bytes_max} bytes", _HEADERS)
+    if intake.chunked and intake.content_length is not None:
+        raise _refuse("the body has both a length and chunks")
     if intake.request_id and not is_request_id(intake.request_id):
-        intake.request_id = ""
         raise _refuse("Berylchute-Request-Id is malformed")
     if (intake.content_length or 0) > limits.body_bytes_max:
         raise _refuse(f"body exceeds {limits.body_bytes_max} bytes", RefusalCode.BODY_TOO_LARGE)
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,310 @@
+"""Guard against a key running twice across repeats, hosts and lost answers."""
+
+from collections.abc import AsyncIterable, Awaitable, Callable, Sequence
+
+import anyio
+import pytest
+
+from berylchute.background import Background
+from berylchute.connections import Attempt
+from berylchute.exchange import Answer, ConnectFailed, ServerClosed, ServerTarget
+from berylchute.forwarding import Forwarder
+from berylchute.hedging import ExtraLoadBudget, HedgeDelays
+from berylchute.idempotency import IdempotencyTable
+from berylchute.intake import Intake
+from berylchute.messages import MemberRecord
+from berylchute.metrics import Metrics
+from berylchute.node import MonotonicClock
+from berylchute.ownership import Ownership
+from berylchute.refusals import Refusal, RefusalCode, RefusedError
+from berylchute.types import AttemptState, MemberState, MemberStatus
+from berylchute.work import Work
+from tests.backends import FakePlacer, make_kind, make_work
+
+CLOCK = MonotonicClock()
+ONCE = make_kind(idempotent=False)
+
+
+class FakeExchanger:
+    """Count runs; each outcome is an answer, an error or a wait for `release`."""
+
+    def __init__(self) -> None:
+        self.runs = 0
+        self.targets: list[str] = []
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.failure: Exception | None = None
+        self.release = anyio.Event()
+        self.blocked = False
+
+    async def run(
+        self,
+        target: ServerTarget,
+        attempt: Attempt,
+        method: bytes,
+        raw_target: bytes,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes | AsyncIterable[bytes],
+    ) -> Answer:
+        self.targets.append(target.name)
+        self.headers = headers
+        if isinstance(self.failure, ConnectFailed):
+            raise self.failure
+        attempt.state = AttemptState.SENT
+        self.runs += 1
+        if self.blocked:
+            await self.release.wait()
+        if self.failure is not None:
+            attempt.state = AttemptState.UNKNOWN
+            raise self.failure
+        attempt.state = AttemptState.ANSWERED
+        return Answer(200, [], b"run %d" % self.runs, attempt=attempt, length=5)
+
+    async def cancel(self, target: ServerTarget, attempt_id: str) -> bool:
+        return True
+
+
+class FakeMembers:
+    """Know one other host."""
+
+    def __init__(self, state: MemberState = MemberState.LIVE) -> None:
+        record = MemberRecord(
+            host_id="h2",
+            position="q",
+            availability_zone="z",
+            region="r",
+            role="entry",
+            incarnation=9,
+            sequence=1,
+            leaving=False,
+            ready=True,
+            http_url="http://127.0.0.2:80",
+            peer_address="127.0.0.2:81",
+            owner_epoch=0,
+            settled_version=1,
+            config_version=1,
+            free_units={},
+        )
+        self.status = MemberStatus(record, state)
+
+    def statuses(self) -> Sequence[MemberStatus]:
+        return [self.status]
+
+    def find_position(self, position: str) -> MemberStatus | None:
+        return self.status if position == "q" else None
+
+
+class Lab:
+    """An owner at position p, incarnation 5."""
+
+    def __init__(self, members: FakeMembers | None = None) -> None:
+        self.exchanger = FakeExchanger()
+        self.table = IdempotencyTable("p", 5, CLOCK.now_s())
+        self.background = Background()
+        forwarder = Forwarder(
+            CLOCK,
+            FakePlacer(3),
+            self.exchanger,
+            Metrics(),
+            self.background,
+            ExtraLoadBudget(),
+            HedgeDelays(),
+        )
+        self.ownership = Ownership(
+            CLOCK,
+            self.table,
+            forwarder,
+            self.exchanger,
+            members or FakeMembers(),
+            Metrics(),
+            "p",
+        )
+
+    def run(self, test: Callable[[], Awaitable[None]]) -> None:
+        async def main() -> None:
+            with anyio.fail_after(20):
+                async with self.background:
+                    await test()
+
+        anyio.run(main)
+
+    async def send(
+        self, key: str, body: bytes = b"1", seconds: float = 5.0, **options: bool
+    ) -> Answer:
+        intake = Intake([], authorization=b"Bearer t", key=key)
+        if options.get("forwarded"):
+            intake.forwarded_by = "z"
+        work = self.work(body, seconds)
+        return await self.ownership.answer(
+            work, intake, is_leaving=options.get("is_leaving", False)
+        )
+
+    def work(self, body: bytes, seconds: float) -> Work:
+        return make_work(ONCE, CLOCK.now_s() + seconds, body)
+
+    async def refusal(
+        self, key: str, body: bytes = b"1", seconds: float = 5.0, **options: bool
+    ) -> Refusal:
+        with pytest.raises(RefusedError) as caught:
+            await self.send(key, body, seconds, **options)
+        return caught.value.refusal
+
+
+def test_concurrent_repeats_share_one_run() -> None:
+    """Guard against a repeat that arrives while the first request still runs."""
+    lab = Lab()
+    lab.exchanger.blocked = True
+    bodies: list[bytes] = []
+
+    async def one() -> None:
+        bodies.append((await lab.send("p.5.0:k")).body)
+
+    async def test() -> None:
+        async with anyio.create_task_group() as tasks:
+            for _ in range(5):
+                tasks.start_soon(one)
+            await anyio.wait_all_tasks_blocked()
+            lab.exchanger.release.set()
+        assert bodies == [b"run 1"] * 5
+
+    lab.run(test)
+
+
+def test_a_lost_answer_is_never_run_again() -> None:
+    """Guard against a second run after the answer to the first was lost."""
+    lab = Lab()
+    lab.exchanger.failure = ServerClosed("lost")
+
+    async def test() -> None:
+        for _ in range(3):
+            refusal = await lab.refusal("p.5.0:k")
+            assert (refusal.code, refusal.not_run) == (RefusalCode.OUTCOME_UNKNOWN, False)
+        assert lab.exchanger.runs == 1
+
+    lab.run(test)
+
+
+def test_a_request_that_was_not_sent_may_run_later() -> None:
+    """Guard against a key locked by work that certainly did not run."""
+    lab = Lab()
+    lab.exchanger.failure = ConnectFailed("down")
+
+    async def test() -> None:
+        assert (await lab.refusal("p.5.0:k")).not_run
+        lab.exchanger.failure = None
+        assert (await lab.send("p.5.0:k")).body == b"run 1"
+
+    lab.run(test)
+
+
+def test_a_deadline_during_the_run_leaves_the_outcome_unknown() -> None:
+    """Guard against a repeat running while the first run may still be going on."""
+    lab = Lab()
+    lab.exchanger.blocked = True
+
+    async def test() -> None:
+        for _ in range(2):
+            refusal = await lab.refusal("p.5.0:k", seconds=0.03)
+            assert (refusal.code, refusal.not_run) == (RefusalCode.OUTCOME_UNKNOWN, False)
+        assert lab.exchanger.runs == 1
+
+    lab.run(test)
+
+
+def test_a_bare_key_is_refused_with_a_usable_owner() -> None:
+    """Guard against keys that no host owns being dispatched."""
+    lab = Lab()
+
+    async def test() -> None:
+        refusal = await lab.refusal("k")
+        assert (refusal.code, refusal.not_run) == (RefusalCode.OWNER_REQUIRED, True)
+        assert (await lab.send(f"{refusal.owner}:k")).body == b"run 1"
+        assert lab.exchanger.runs == 1
+
+    lab.run(test)
+
+
+def test_a_key_of_another_host_goes_to_that_host() -> None:
+    """Guard against a host that dispatches a key which it does not own."""
+    lab = Lab()
+
+    async def test() -> None:
+        await lab.send("q.9.0:k")
+        assert lab.exchanger.targets == ["host:q"]
+        assert (b"Authorization", b"Bearer t") in lab.exchanger.headers
+        assert (b"Berylchute-Forwarded-By", b"p") in lab.exchanger.headers
+        assert len(lab.table) == 0
+
+    lab.run(test)
+
+
+@pytest.mark.parametrize("key", ["q.8.0:k", "q.10.0:k", "p.4.0:k", "elsewhere.1.0:k"])
+def test_a_lost_owner_leaves_the_outcome_unknown(key: str) -> None:
+    """Guard against a second run when the owner's memory is gone."""
+    lab = Lab()
+
+    async def test() -> None:
+        refusal = await lab.refusal(key)
+        assert (refusal.code, refusal.not_run) == (RefusalCode.OUTCOME_UNKNOWN, False)
+        assert lab.exchanger.targets == []
+
+    lab.run(test)
+
+
+def test_a_silent_owner_leaves_the_outcome_unknown() -> None:
+    """Guard against calling work not run that the owner may have run before."""
+    lab = Lab()
+    lab.exchanger.failure = ConnectFailed("down")
+
+    async def test() -> None:
+        refusal = await lab.refusal("q.9.0:k")
+        assert (refusal.code, refusal.not_run) == (RefusalCode.OUTCOME_UNKNOWN, False)
+
+    lab.run(test)
+
+
+def test_a_gone_owner_is_not_asked() -> None:
+    """Guard against waiting for a host that is known to be gone."""
+    lab = Lab(FakeMembers(MemberState.GONE))
+
+    async def test() -> None:
+        assert (await lab.refusal("q.9.0:k")).code is RefusalCode.OUTCOME_UNKNOWN
+        assert lab.exchanger.targets == []
+
+    lab.run(test)
+
+
+def test_a_forwarded_request_is_not_forwarded_again() -> None:
+    """Guard against requests that circle between hosts."""
+    lab = Lab()
+
+    async def test() -> None:
+        assert (await lab.refusal("q.9.0:k", forwarded=True)).not_run is False
+        assert lab.exchanger.targets == []
+
+    lab.run(test)
+
+
+def test_a_leaving_owner_answers_repeats_and_refuses_new_keys() -> None:
+    """Guard against a leaving owner calling a key not run that it ran."""
+    lab = Lab()
+
+    async def test() -> None:
+        await lab.send("p.5.0:k")
+        assert (await lab.send("p.5.0:k", is_leaving=True)).body == b"run 1"
+        refusal = await lab.refusal("p.5.0:new", is_leaving=True)
+        assert (refusal.code, refusal.not_run) == (RefusalCode.LEAVING, True)
+        assert lab.exchanger.runs == 1
+
+    lab.run(test)
+
+
+def test_another_body_is_refused() -> None:
+    """Guard against a reused key returning the answer to another request."""
+    lab = Lab()
+
+    async def test() -> None:
+        await lab.send("p.5.0:k")
+        refusal = await lab.refusal("p.5.0:k", b"2")
+        assert (refusal.code, refusal.not_run) == (RefusalCode.KEY_REUSED, False)
+
+    lab.run(test)
