Wire declared drains into the entry program

Cause: the entry program answered that nothing drains, so the demo's drain took 6.9 s. Change: the drains object reaches DrainSet as the configuration does; a host whose position, availability zone or region drains turns callers away. Both programs share httpserver.

--- a/berylchute/entry.py
+++ b/berylchute/entry.py
@@ -1,16 +1,14 @@
 """Compose and run the entry program."""
 
-import contextlib
 import logging
 import random
 import signal
 import sys
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from pathlib import Path
 
 import anyio
 import cyclopts
-import uvicorn
 
 from berylchute import __version__, logs
 from berylchute.admission import ShortReserve
@@ -19,13 +17,15 @@
 from berylchute.borrowing import Peer
 from berylchute.config import Configuration
 from berylchute.dispatch import CapacityPlacer
+from berylchute.drains import DRAINS_KEY, DrainSet
 from berylchute.endpoints import Endpoints
-from berylchute.exceptions import SettingsError
+from berylchute.exceptions import ConfigError, SettingsError
 from berylchute.exchange import HttpExchanger
 from berylchute.explaining import Explanation, SampleSink, explain
 from berylchute.forwarding import Forwarder
 from berylchute.gateway import Gateway, GatewayState
 from berylchute.hedging import ExtraLoadBudget, HedgeDelays
+from berylchute.httpserver import Server, make_server
 from berylchute.idempotency import IdempotencyTable
 from berylchute.identity import OperatorDirectory
 from berylchute.ledger import Ledger
@@ -52,23 +52,6 @@
 logger = logging.getLogger(__name__)
 
 
-class _Server(uvicorn.Server):
-    """Leave signals to the composition root, which drains before it stops the server."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Install no handlers."""
-        yield
-
-
-class _NoDrains:
-    """Answer that nothing drains."""
-
-    def is_draining(self, target: str, name: str) -> bool:
-        """Return False."""
-        return False
-
-
 class _NoShifts:
     """Answer that no shift runs."""
 
@@ -94,6 +77,8 @@
         self._node = Node(settings, "entry", clock=self._clock)
         record = self._node.record
         self.state = GatewayState()
+        self._is_stopping = False
+        self._drains = DrainSet()
         self._background = Background()
         self._ledger = Ledger()
         self._shares: Mapping[str, Mapping[str, int]] = {}
@@ -120,7 +105,7 @@
             self._settings.host.region,
             observer,
             self._ledger,
-            _NoDrains(),
+            self._drains,
             _NoShifts(),
             _NoLinkLimits(),
             reserve,
@@ -188,7 +173,7 @@
 
     async def serve(self) -> None:
         """Serve until SIGTERM or SIGINT, then finish the requests in flight."""
-        server = _Server(self._server_config())
+        server = make_server(self.gateway, self._settings)
         async with anyio.create_task_group() as tasks, self._background as background:
             await tasks.start(self._node.run)
             background.start(self._follow_configuration)
@@ -205,11 +190,30 @@
         self._request_log.flush()
 
     async def _follow_configuration(self) -> None:
-        async for _ in self._node.subscribe_objects("config"):
+        async for stored in self._node.subscribe_objects("config", DRAINS_KEY):
             in_force = self._node.in_force
-            if in_force is not None:
+            if stored.key == DRAINS_KEY:
+                self._take_drains(stored)
+            elif in_force is not None:
                 self._configure(in_force)
 
+    def _take_drains(self, stored: StoredObject) -> None:
+        try:
+            self._drains.replace(stored.value)
+        except ConfigError as error:
+            logger.error("drains not taken: %s", error, extra={"version": stored.version})
+        self._update_leaving()
+
+    def _update_leaving(self) -> None:
+        """Turn callers away while this process stops or its host is drained."""
+        host, is_draining = self._settings.host, self._drains.is_draining
+        self.state.leaving = (
+            self._is_stopping
+            or is_draining("host", host.position)
+            or is_draining("availability_zone", host.availability_zone)
+            or is_draining("region", host.region)
+        )
+
     def _configure(self, in_force: ConfigurationInForce) -> None:
         configuration, position = in_force.configuration, self._settings.host.position
         self._shares = base_shares(configuration)
@@ -278,39 +282,18 @@
             free[server.service] = free.get(server.service, 0) + units
         return free
 
-    def _server_config(self) -> uvicorn.Config:
-        host, _, port = self._settings.listen.http.rpartition(":")
-        tls = self._settings.tls
-        return uvicorn.Config(
-            self.gateway,
-            host=host.strip("[]"),
-            port=int(port),
-            loop="asyncio",
-            http="httptools",
-            ws="none",
-            lifespan="off",
-            log_config=None,
-            access_log=False,
-            server_header=False,
-            date_header=False,
-            ssl_certfile=tls.certificate_file or None,
-            ssl_keyfile=tls.key_file or None,
-            # Callers keep connections between requests; a close may cut off a request on its way.
-            timeout_keep_alive=75,
-            timeout_graceful_shutdown=max(1, self._settings.limits.shutdown_timeout_ms // 1000),
-        )
-
     async def _flush_logs(self) -> None:
         while True:
             await anyio.sleep(LOG_FLUSH_S)
             self._request_log.flush()
 
-    async def _stop_on_signal(self, server: uvicorn.Server) -> None:
+    async def _stop_on_signal(self, server: Server) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
                 break
         logger.info("leaving", extra={"in_flight": self.state.in_flight})
-        self.state.leaving = True
+        self._is_stopping = True
+        self._update_leaving()
         self._node.announce_leaving()
         await anyio.sleep(LINGER_S)
         timeout_s = self._settings.limits.shutdown_timeout_ms / 1000.0
--- a/lab/demo.py
+++ b/lab/demo.py
@@ -47,7 +47,7 @@
 
 def drain_server(deployment: Deployment, server: str) -> None:
     """Declare a drain of a server in the store."""
-    value = [{"id": "demo-drain", "target": "server", "name": server, "state": "declared"}]
+    value = [{"id": "demo-drain", "target": "server", "name": server, "state": "draining"}]
     url = f"{deployment.store_url}/objects/drains"
     answer = call("PUT", url, msgspec.json.encode(value), {"If-None-Match": "*"})
     if answer.status != 200:
