--- /dev/null
+++ b/berylchute/gateway.py
@@ -0,0 +1,319 @@
+"""Serve callers over ASGI: authenticate, forward and answer."""
+
+import itertools
+from collections.abc import Sequence
+
+import anyio
+import attrs
+
+from berylchute.background import Background
+from berylchute.config import Configuration, Kind
+from berylchute.exceptions import ExchangeError
+from berylchute.exchange import Answer
+from berylchute.forwarding import Forwarder
+from berylchute.identity import Caller, CallerDirectory
+from berylchute.intake import (
+    KEYED_BODY_BYTES_MAX,
+    AsgiApp,
+    CallerBody,
+    CallerGone,
+    Intake,
+    KindTable,
+    Receive,
+    Scope,
+    Send,
+    read_intake,
+    read_whole,
+)
+from berylchute.ownership import Ownership
+from berylchute.refusals import RefusalCode, RefusedError, problem_body
+from berylchute.settings import LimitSettings
+from berylchute.tracing import ENTRY, RequestRecord, Tracer
+from berylchute.types import Clock
+from berylchute.work import BodyStream, Work
+
+__all__ = ["Gateway", "GatewayState"]
+
+BUFFERED_BODY_BYTES = 65536
+WATCH_INTERVAL_S = 0.05
+WATCH_AFTER_S = 0.1
+# Connection fields end here, the length is set anew, and the id is the caller's.
+_ANSWER_DROPPED = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"transfer-encoding",
+        b"upgrade",
+        b"trailer",
+        b"content-length",
+        b"berylchute-request-id",
+        b"berylchute-not-run",
+        b"server-timing",
+    }
+)
+
+
+@attrs.define(eq=False)
+class GatewayState:
+    """What changes while the gateway serves."""
+
+    kinds: KindTable | None = None
+    callers: CallerDirectory | None = None
+    leaving: bool = False
+    in_flight: int = 0
+
+    def configure(self, configuration: Configuration) -> None:
+        """Follow an accepted configuration."""
+        self.kinds = KindTable(configuration)
+        self.callers = CallerDirectory(configuration)
+
+
+class Gateway:
+    """The ASGI application of the entry program."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        state: GatewayState,
+        forwarder: Forwarder,
+        ownership: Ownership,
+        background: Background,
+        tracer: Tracer,
+        limits: LimitSettings,
+        position: str,
+        id_prefix: str,
+        own_paths: AsgiApp,
+    ) -> None:
+        """Wire the parts; `id_prefix` makes request ids unique over hosts and restarts."""
+        self._clock = clock
+        self._state = state
+        self._forwarder = forwarder
+        self._ownership = ownership
+        self._background = background
+        self._tracer = tracer
+        self._limits = limits
+        self._host = position.encode()
+        self._id_prefix = id_prefix
+        self._numbers = itertools.count(1)
+        self._own_paths = own_paths
+        self._active: set[Work] = set()
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        path: bytes = scope["raw_path"]
+        if path.startswith(b"/berylchute/v1/") or path in (b"/metrics", b"/healthz", b"/readyz"):
+            await self._own_paths(scope, receive, send)
+            return
+        own_id = f"{self._id_prefix}{next(self._numbers):x}"
+        record = RequestRecord(own_id, self._clock.now_s(), scope["method"], scope["path"])
+        self._state.in_flight += 1
+        try:
+            await self._serve(scope, receive, send, record, own_id)
+        finally:
+            self._state.in_flight -= 1
+            self._tracer.finish(record, self._clock.now_s())
+
+    async def watch_callers(self) -> None:
+        """Cancel the work of callers that leave; runs until cancelled.
+
+        Only requests older than WATCH_AFTER_S are watched: a task per request would cost more
+        than most of them.
+        """
+        while True:
+            await anyio.sleep(WATCH_INTERVAL_S)
+            oldest_s = self._clock.now_s() - WATCH_AFTER_S
+            for work in self._active:
+                if work.is_watched or work.receive is None or work.record.started_s > oldest_s:
+                    continue
+                # A body that is still arriving is read by its own request, which sees the end.
+                if isinstance(work.body, bytes) or work.body.complete:
+                    work.is_watched = True
+                    self._background.start(_watch, work)
+
+    async def _serve(
+        self, scope: Scope, receive: Receive, send: Send, record: RequestRecord, own_id: str
+    ) -> None:
+        work: Work | None = None
+        try:
+            intake = read_intake(scope, self._limits)
+            if intake.request_id:
+                record.request_id = intake.request_id
+            work = await self._accept(scope, receive, record, intake, own_id)
+            self._active.add(work)
+            if intake.key and not work.kind.idempotent:
+                answer = await self._ownership.answer(work, intake, is_leaving=self._state.leaving)
+            else:
+                answer = await self._forwarder.answer(work)
+            await self._reply(send, work, answer)
+        except RefusedError as error:
+            await self._refuse(scope, send, record, error)
+        except CallerGone:
+            record.outcome = "caller_gone"
+        finally:
+            if work is not None:
+                self._active.discard(work)
+
+    async def _accept(
+        self,
+        scope: Scope,
+        receive: Receive,
+        record: RequestRecord,
+        intake: Intake,
+        own_id: str,
+    ) -> Work:
+        state = self._state
+        if state.callers is None or state.kinds is None:
+            raise RefusedError(RefusalCode.NOT_READY, "no configuration yet", not_run=True)
+        caller = state.callers.find(intake.authorization)
+        if caller is None:
+            raise RefusedError(RefusalCode.UNAUTHORIZED, "no valid token", not_run=True)
+        record.customer, record.plan = caller.customer, caller.plan
+        kind = state.kinds.find(scope["method"], scope["raw_path"])
+        record.service, record.kind = kind.service, kind.name
+        # A leaving owner still answers repeats of keys that it ran.
+        if state.leaving and (kind.idempotent or not intake.key):
+            raise RefusedError(RefusalCode.LEAVING, "use another entry host", not_run=True)
+        body = await self._read_body(intake, kind, receive)
+        headers = self._forwarded_headers(scope, intake, body, caller)
+        target: bytes = scope["raw_path"]
+        if scope["query_string"]:
+            target = target + b"?" + scope["query_string"]
+        deadline_ms = min(
+            kind.deadline_max_ms,
+            kind.deadline_default_ms if intake.deadline_ms is None else intake.deadline_ms,
+        )
+        record.stage_s[ENTRY] = self._clock.now_s() - record.started_s
+        return Work(
+            record,
+            caller,
+            kind,
+            scope["method"].encode(),
+            target,
+            headers,
+            body,
+            record.started_s + deadline_ms / 1000.0,
+            own_id,
+            # Non-idempotent work goes on without its caller, whose repeat then finds the answer.
+            receive if kind.idempotent else None,
+        )
+
+    def _forwarded_headers(
+        self, scope: Scope, intake: Intake, body: bytes | BodyStream, caller: Caller
+    ) -> list[tuple[bytes, bytes]]:
+        headers = intake.headers
+        if isinstance(body, bytes):
+            if body or scope["method"] not in ("GET", "HEAD", "DELETE"):
+                headers.append((b"Content-Length", b"%d" % len(body)))
+        elif intake.content_length is not None:
+            headers.append((b"Content-Length", b"%d" % intake.content_length))
+        else:
+            headers.append((b"Transfer-Encoding", b"chunked"))
+        headers.append((b"Berylchute-Plan", caller.plan.encode()))
+        headers.append((b"Berylchute-Host", self._host))
+        return headers
+
+    async def _read_body(self, intake: Intake, kind: Kind, receive: Receive) -> bytes | BodyStream:
+        if not intake.chunked and not intake.content_length:
+            return b""
+        if not kind.idempotent:
+            return await read_whole(receive, min(KEYED_BODY_BYTES_MAX, self._limits.body_bytes_max))
+        if not intake.chunked and (intake.content_length or 0) <= BUFFERED_BODY_BYTES:
+            return await read_whole(receive, BUFFERED_BODY_BYTES)
+        return CallerBody(receive, self._limits.body_bytes_max)
+
+    async def _refuse(
+        self, scope: Scope, send: Send, record: RequestRecord, error: RefusedError
+    ) -> None:
+        refusal = error.refusal
+        if refusal.not_run and not record.not_run_certain and _has_key(scope):
+            # An earlier request with this key may have run; only its owner's table can tell.
+            refusal = attrs.evolve(refusal, not_run=False)
+        record.outcome = "refused" if refusal.not_run else "failed"
+        record.status, record.code = refusal.status, refusal.code.value
+        record.reason, record.not_run = refusal.reason, refusal.not_run
+        body = problem_body(refusal, record.request_id)
+        headers = [
+            (b"content-type", b"application/problem+json"),
+            (b"content-length", b"%d" % len(body)),
+            (b"berylchute-request-id", record.request_id.encode()),
+            (b"server-timing", record.server_timing()),
+        ]
+        # A caller whose body was not read to its end must not send another request after it.
+        if self._state.leaving or refusal.code in _CLOSING:
+            headers.append((b"connection", b"close"))
+        await send({"type": "http.response.start", "status": refusal.status, "headers": headers})
+        await send({"type": "http.response.body", "body": body})
+
+    async def _reply(self, send: Send, work: Work, answer: Answer) -> None:
+        record = work.record
+        record.status = answer.status
+        record.outcome = record.outcome or "answered"
+        if answer.attempt is not None:
+            record.take_attempt(answer.attempt)
+        headers = _answer_headers(answer, work.method)
+        headers.append((b"berylchute-request-id", record.request_id.encode()))
+        headers.append((b"server-timing", record.server_timing()))
+        if self._state.leaving:
+            headers.append((b"connection", b"close"))
+        await send({"type": "http.response.start", "status": answer.status, "headers": headers})
+        if answer.rest is None:
+            await send({"type": "http.response.body", "body": answer.body})
+            return
+        await self._stream(send, work, answer)
+
+    async def _stream(self, send: Send, work: Work, answer: Answer) -> None:
+        assert answer.rest is not None
+        is_complete = False
+        try:
+            with anyio.CancelScope(deadline=work.deadline_s) as work.scope:
+                await send({"type": "http.response.body", "body": answer.body, "more_body": True})
+                async for chunk in answer.rest:
+                    await send({"type": "http.response.body", "body": chunk, "more_body": True})
+                is_complete = True
+        except ExchangeError as error:
+            work.record.code = error.code
+        finally:
+            await self._forwarder.close(answer, is_complete=is_complete)
+        if not is_complete:
+            # Returning without the last chunk makes the ASGI server close the connection.
+            work.record.outcome = "caller_gone" if work.caller_gone else "cut"
+            return
+        await send({"type": "http.response.body", "body": b""})
+
+
+async def _watch(work: Work) -> None:
+    """Cancel the work when its caller leaves; ends with the answer at the latest."""
+    assert work.receive is not None
+    while not work.caller_gone:
+        message = await work.receive()
+        if message["type"] != "http.disconnect":
+            continue
+        work.caller_gone = True
+        if work.scope is not None:
+            work.scope.cancel()
+
+
+def _has_key(scope: Scope) -> bool:
+    return any(name == b"idempotency-key" and b":" in value for name, value in scope["headers"])
+
+
+_CLOSING = frozenset(
+    {RefusalCode.BODY_TOO_LARGE, RefusalCode.HEADERS_TOO_LARGE, RefusalCode.UNAUTHORIZED}
+)
+
+
+def _answer_headers(answer: Answer, method: bytes) -> list[tuple[bytes, bytes]]:
+    headers: list[tuple[bytes, bytes]] = []
+    declared: Sequence[bytes] = ()
+    for raw_name, value in answer.headers:
+        name = raw_name.lower()
+        if name == b"content-length":
+            declared = (value,)
+        if name not in _ANSWER_DROPPED:
+            headers.append((name, value))
+    if method == b"HEAD":
+        headers.extend((b"content-length", value) for value in declared)
+    elif answer.length is not None and answer.status not in (204, 304):
+        headers.append((b"content-length", b"%d" % answer.length))
+    return headers
