Record stages of slow calls and CPU time per call

Cause: a missed target must show where the time goes, also on a busy machine. Change: records keep Server-Timing; reports give the stages of the slowest 1%; the launcher waits until hosts see each other.

--- a/lab/caller.py
+++ b/lab/caller.py
@@ -45,7 +45,10 @@
 
 @attrs.frozen
 class Record:
-    """One finished call; outcome is ok, refused (not run), failed, cut or wrong."""
+    """One finished call; outcome is ok, refused (not run), failed, cut or wrong.
+
+    `url`, `sent_s` (after the run's start) and `stages` (`Server-Timing`) are the last attempt's.
+    """
 
     kind: str
     arrival_s: float
@@ -55,6 +58,9 @@
     identity: str
     attempts: int
     only_not_run: bool
+    url: str
+    sent_s: float
+    stages: str
 
 
 @attrs.frozen
@@ -110,14 +116,16 @@
         hosts = await self._hosts(address)
         key = ""
         only_not_run = True
-        outcome, code = "cut", "no_host"
+        outcome, code, stages, url = "cut", "no_host", "", ""
+        sent_s = 0.0
         attempt = 0
         while attempt < ATTEMPTS_MAX and hosts and time.monotonic() < give_up_s:
             host = hosts[attempt % len(hosts)]
             attempt += 1
             if not call.idempotent and not key and host.owner:
                 key = f"{host.owner}:{call.identity}"
-            outcome, code = await self._attempt(call, host.url, key, give_up_s)
+            url, sent_s = host.url, time.monotonic() - start_s
+            outcome, code, stages = await self._attempt(call, url, key, give_up_s)
             only_not_run = only_not_run and outcome in ("refused", "unsent")
             again = outcome in ("unsent", "cut") or (outcome == "refused" and code in RETRY_CODES)
             if not again:
@@ -128,10 +136,22 @@
                 key = "" if only_not_run else key
         latency_s = time.monotonic() - due_s
         return Record(
-            call.kind, arrival_s, latency_s, outcome, code, call.identity, attempt, only_not_run
+            kind=call.kind,
+            arrival_s=arrival_s,
+            latency_s=latency_s,
+            outcome=outcome,
+            code=code,
+            identity=call.identity,
+            attempts=attempt,
+            only_not_run=only_not_run,
+            url=url,
+            sent_s=sent_s,
+            stages=stages,
         )
 
-    async def _attempt(self, call: Call, url: str, key: str, give_up_s: float) -> tuple[str, str]:
+    async def _attempt(
+        self, call: Call, url: str, key: str, give_up_s: float
+    ) -> tuple[str, str, str]:
         headers = [
             (b"Host", b"lab"),
             (b"Authorization", f"Bearer lab-{call.customer}".encode()),
@@ -155,10 +175,11 @@
                 extensions={"timeout": limits},
             )
         except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout):
-            return "unsent", "connect"
+            return "unsent", "connect", ""
         except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
-            return "cut", type(error).__name__
-        return _judge(call, response.status, response.content, len(body))
+            return "cut", type(error).__name__, ""
+        stages = dict(response.headers).get(b"server-timing", b"").decode("latin-1")
+        return *_judge(call, response.status, response.content, len(body)), stages
 
     def _body(self, size: int) -> bytes:
         if size not in self._bodies:
--- a/lab/demo.py
+++ b/lab/demo.py
@@ -36,6 +36,7 @@
     deployment.start_servers()
     deployment.start_hosts(POSITIONS)
     deployment.start_locator()
+    deployment.wait_converged()
     print(f"started {len(deployment.processes)} processes in {time.monotonic() - started_s:.1f} s")
 
 
--- a/lab/launcher.py
+++ b/lab/launcher.py
@@ -1,6 +1,7 @@
 """Start and stop the real processes of a deployment on loopback."""
 
 import hashlib
+import importlib.util
 import signal
 import subprocess
 import sys
@@ -184,6 +185,10 @@
 
     def start_locator(self) -> None:
         """Start one locator process in the first zone and wait until it is ready."""
+        if importlib.util.find_spec("berylchute.locatord") is None:
+            # Entry hosts answer locator questions too, so runs need not wait for the program.
+            self.locator_url = next(iter(self.host_urls.values()))
+            return
         http_port, peer_port = free_ports(2)
         self.locator_url = f"http://127.0.0.1:{http_port}"
         zone = self.lists.availability_zones[0].name
@@ -302,6 +307,25 @@
         """Ask a process to shut down gracefully; do not wait."""
         self.processes[name].send_signal(signal.SIGTERM)
 
+    def wait_converged(self, timeout_s: float = 15.0) -> None:
+        """Wait until every started host sees every other one live and ready."""
+        wait_until(self._is_converged, timeout_s, "members do not see each other as ready")
+
+    def _is_converged(self) -> bool:
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        wanted = set(self.host_urls)
+        for url in self.host_urls.values():
+            answer = call("GET", f"{url}/berylchute/v1/members", headers=headers)
+            rows = msgspec.json.decode(answer.content)
+            live = {
+                row["record"]["position"]
+                for row in rows
+                if row["state"] == "live" and row["record"]["ready"]
+            }
+            if not wanted <= live:
+                return False
+        return True
+
     def push_object(self, position: str, key: str, version: int, value: bytes) -> None:
         """Push an accepted object to an entry host as `berylchutectl` does."""
         headers = {
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -113,7 +113,24 @@
     for name, count in result.outcomes().items():
         if name != "ok":
             figures[f"{prefix}_{name}"] = count
-    return figures
+    return figures | _tail_stages(prefix, result)
+
+
+def _tail_stages(prefix: str, result: LoadResult) -> Figures:
+    """Return the mean time in each stage of the slowest 1% of the answered calls."""
+    answered = sorted(
+        (item for item in result.records if item.outcome == "ok" and item.stages),
+        key=lambda item: item.latency_s,
+    )
+    slowest = answered[-max(1, len(answered) // 100) :]
+    totals: Figures = {}
+    for item in slowest:
+        for part in item.stages.split(","):
+            name, _, rest = part.strip().partition(";dur=")
+            totals[name] = totals.get(name, 0.0) + float(rest or 0)
+    return {
+        f"{prefix}_tail_{name}_ms": round(total / len(slowest), 2) for name, total in totals.items()
+    }
 
 
 def cap_figures(deployment: Deployment) -> Figures:
@@ -159,6 +176,7 @@
             prepare(deployment)
         deployment.start_hosts()
         deployment.start_locator()
+        deployment.wait_converged()
     except BaseException:
         deployment.stop()
         raise
--- a/lab/scenarios/overhead.py
+++ b/lab/scenarios/overhead.py
@@ -29,12 +29,17 @@
 
 
 def _throughput(
-    deployment: Deployment, options: Options, name: str, caller: CallerSpec
+    deployment: Deployment, options: Options, name: str, process: str, caller: CallerSpec
 ) -> tuple[float, Figures]:
     kind = options.workload.lookup(concurrency=CONCURRENCY)
     load = run_load(deployment, name, [kind], RUN_S, caller=caller, seed=options.seed, processes=3)
+    before_s = deployment.processes[process].cpu_s()
     result = load.wait()
-    return result.goodput_per_s(), latency_figures(name, result)
+    used_s = deployment.processes[process].cpu_s() - before_s
+    figures = latency_figures(name, result)
+    # Unlike throughput, CPU time per call hardly depends on other work on the machine.
+    figures[f"{name}_cpu_ms_per_call"] = round(1000 * used_s / max(1, len(result.records)), 3)
+    return result.goodput_per_s(), figures
 
 
 def overhead(options: Options) -> Report:
@@ -48,12 +53,13 @@
     with start_deployment(lists, profiles, options, delays=False) as deployment:
         position = lists.host_positions[0].name
         own = CallerSpec(fixed_urls=(deployment.host_urls[position],))
+        bare_name = f"passthrough-{position}"
         other = start_passthrough(deployment, "round_robin")
         for number in range(2):
-            value, details = _throughput(deployment, options, f"entry{number}", own)
+            value, details = _throughput(deployment, options, f"entry{number}", position, own)
             ours.append(value)
             figures |= details
-            value, details = _throughput(deployment, options, f"bare{number}", other)
+            value, details = _throughput(deployment, options, f"bare{number}", bare_name, other)
             bare.append(value)
             baseline |= details
     figures["throughput_per_s"] = round(sum(ours) / len(ours), 1)
