--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -271,3 +271,70 @@
     world = World(SHARES, near)
     host = world.start("b", "b-h", 2, 1.0, {})
     assert host.lending.handle(LoanRecall("b-h.1.1"), 0.0) == []
+
+
+def borrow_two(world: World) -> tuple[SimHost, LoanRequest, LoanGrant]:
+    """Let host c ask host a for two slots; return the request and the undelivered grant."""
+    borrower = world.hosts["c"]
+    borrower.ledger.set_shares({})
+    borrower.ledger.note_demand([ResourceUnits("s", 2)], borrower.local_s(0.0) + 2.0, 0.0)
+    world.tick(borrower)
+    (ask,) = [f.message for f in world.flights if f.address == "a"]
+    assert isinstance(ask, LoanRequest)
+    world.flights.clear()
+    (answer,) = world.hosts["a"].lending.handle(ask, world.hosts["a"].local_s(0.0))
+    assert isinstance(answer.message, LoanGrant)
+    return borrower, ask, answer.message
+
+
+def lacking_world() -> World:
+    world = World({"a": {"s": 2}, "c": {}}, near)
+    host = world.hosts["c"]
+    host.offset_s = 0.0
+    return world
+
+
+def test_expiry_counts_from_the_ask_however_late_the_grant() -> None:
+    """Guard against a late grant whose units outlast the lender's term."""
+    world = lacking_world()
+    borrower, _, grant = borrow_two(world)
+    term_s = grant.term_ms / 1000
+    borrower.lending.handle(grant, term_s - 1.0)
+    assert borrower.ledger.free_units("s", term_s, term_s - 1.0) == 2
+    assert borrower.ledger.free_units("s", term_s + 0.01, term_s - 1.0) == 0
+
+
+def test_repeated_grant_does_not_revive_a_returned_loan() -> None:
+    """Guard against a duplicated grant that is used after its units went back."""
+    world = lacking_world()
+    borrower, ask, grant = borrow_two(world)
+    borrower.lending.handle(grant, 0.1)
+    (back,) = borrower.lending.handle(LoanRecall(ask.loan_id), 0.2)
+    assert isinstance(back.message, LoanReturn) and back.message.remaining == ()
+    (again,) = borrower.lending.handle(grant, 0.3)
+    assert again.message.remaining == ()  # type: ignore[union-attr]
+    assert borrower.ledger.free_units("s", 1.0, 0.3) == 0
+
+
+def test_recall_of_a_pending_renewal_keeps_units_in_use() -> None:
+    """Guard against a return of a renewal whose units run under the old loan."""
+    world = lacking_world()
+    borrower, ask, grant = borrow_two(world)
+    borrower.lending.handle(grant, 0.1)
+    renewals: list[LoanRequest] = []
+    now_s = 0.1
+    while not renewals:
+        now_s += 0.1
+        borrower.ledger.try_acquire([ResourceUnits("s", 2)], now_s + 0.09, now_s)
+        sent = [item.message for item in borrower.lending.tick(now_s)]
+        renewals = [m for m in sent if isinstance(m, LoanRequest) and m.renews == ask.loan_id]
+    assert borrower.lending.handle(LoanRecall(renewals[0].loan_id), now_s) == []
+
+
+def test_renewal_with_a_shorter_term_keeps_the_lender_s_later_time() -> None:
+    """Guard against a lender that takes renewed units back before the old loan expires."""
+    host = World(SHARES, near).hosts["a"]
+    long_loan = LoanRequest("b-h.1.1", "b-h", 1, "b", (LoanOffer("s", 2),), 60_000)
+    host.lending.handle(long_loan, 0.0)
+    host.lending.handle(request("b-h.1.2", 2, "b-h.1.1"), 1.0)
+    assert host.ledger.usage("s", 60.0).lent == 2
