--- a/berylchute/ctl.py
+++ b/berylchute/ctl.py
@@ -5,7 +5,7 @@
 import cyclopts
 from cyclopts import App
 
-from berylchute import __version__, commands, config, drainctl, operations
+from berylchute import __version__, commands, config, drainctl, operations, shiftctl
 from berylchute.commands import EXIT_BAD_INPUT, EXIT_DONE, EXIT_UNKNOWN, Session
 from berylchute.ctlcommon import COMMON, Common
 from berylchute.exceptions import BerylchuteError, CommandError
@@ -19,6 +19,7 @@
     version=__version__,
 )
 app.command(drainctl.app)
+app.command(shiftctl.app)
 
 
 HOST_COLUMNS = (
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -152,3 +152,24 @@
     assert call("drain", "list", "--output", "json") == 0
     assert json.loads(capsys.readouterr().out) == []
     assert call("drain", "stop", "no-such-drain") == 2
+
+
+def test_shift_is_declared_shown_and_cancelled(
+    store: FakeStore, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against shifts that are declared with wrong places or cannot be cancelled."""
+    call("apply", str(LISTS))
+    places = ("--from", "occidente", "--to", "verapaz", "--percent", "50")
+    assert call("shift", "start", "nothing", *places) == 2
+    assert call("shift", "start", "saldo", "--from", "occidente", "--to", "occidente") == 2
+    assert call("shift", "start", "saldo", *places, "--dry-run") == 0
+    assert "shifts" not in store.objects
+    capsys.readouterr()
+    assert call("shift", "start", "saldo", *places, "--output", "json") == 0
+    shift_id = json.loads(capsys.readouterr().out)["id"]
+    assert call("shift", "start", "saldo", *places) == 2
+    assert call("shift", "show", shift_id) == 0
+    assert call("shift", "cancel", shift_id) == 0
+    capsys.readouterr()
+    assert call("shift", "list", "--output", "json") == 0
+    assert json.loads(capsys.readouterr().out) == []
