--- a/berylchute/drains.py
+++ b/berylchute/drains.py
@@ -77,10 +77,14 @@
 
 
 class DrainSet:
-    """Answer drain queries from the last accepted object; implements `routing.DrainView`."""
+    """Answer drain queries from the last accepted object and the servers' own reports.
+
+    Implements `routing.DrainView`.
+    """
 
     def __init__(self) -> None:
         self._draining: frozenset[tuple[str, str]] = frozenset()
+        self._reported: frozenset[str] = frozenset()
 
     def replace(self, value: bytes) -> None:
         """Take an accepted object; raise ConfigError and keep the old drains if it is broken."""
@@ -90,6 +94,12 @@
             if drain.state is DrainState.DRAINING
         )
 
+    def set_reported(self, servers: frozenset[str]) -> None:
+        """Replace the servers that said themselves that they drain."""
+        self._reported = servers
+
     def is_draining(self, target: str, name: str) -> bool:
         """Return whether `name` of type server, host, availability_zone or region drains."""
-        return (target, name) in self._draining
+        if (target, name) in self._draining:
+            return True
+        return target == "server" and name in self._reported
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,23 @@
+"""Check which health reports are believed."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from berylchute.health import believed_drains
+
+
+@given(st.dictionaries(st.integers(0, 30).map(str), st.booleans(), max_size=30))
+def test_at_most_half_of_a_service_is_believed_to_drain(reported: dict[str, bool]) -> None:
+    """Guards against misleading reports that take a whole service out of use."""
+    service_of = {name: f"service-{int(name) % 3}" for name in reported}
+    believed = believed_drains(reported, service_of)
+    assert all(reported[name] for name in believed)
+    for service in set(service_of.values()):
+        members = [name for name in reported if service_of[name] == service]
+        assert sum(name in believed for name in members) * 2 <= len(members)
+
+
+def test_single_leaving_server_is_believed() -> None:
+    """Guards against new work on a server that said it leaves."""
+    reported = {"a": True, "b": False, "c": False}
+    assert believed_drains(reported, dict.fromkeys(reported, "saldo")) == {"a"}
