--- a/berylchute/locatord.py
+++ b/berylchute/locatord.py
@@ -10,12 +10,12 @@
 
 from berylchute import __version__, logs
 from berylchute.endpoints import Endpoints
-from berylchute.exceptions import SettingsError
+from berylchute.exceptions import ConfigError, SettingsError
 from berylchute.httpserver import Server, make_server
 from berylchute.identity import OperatorDirectory
 from berylchute.locator import Locator, LocatorApp
 from berylchute.metrics import Metrics
-from berylchute.node import Node
+from berylchute.node import ConfigurationInForce, Node
 from berylchute.settings import Settings, load
 from berylchute.types import StoredObject
 
@@ -64,13 +64,22 @@
         while True:
             in_force = self._node.in_force
             if in_force is not None and in_force.version > self._configured_version:
-                self._locator.configure(in_force.configuration, in_force.version)
-                self._configured_version = in_force.version
+                self._configure(in_force)
             self._locator.update(self._node.members.statuses())
             if self._is_ready() != self._node.record.ready:
                 self._node.set_ready(self._is_ready())
             await anyio.sleep(MEMBERS_POLL_S)
 
+    def _configure(self, in_force: ConfigurationInForce) -> None:
+        try:
+            self._locator.configure(in_force.configuration, in_force.version)
+        except ConfigError as error:
+            # The last good table stays; a document that slipped past validation must not end
+            # every locator at once.
+            logger.error("config version %d cannot be used: %s", in_force.version, error)
+        else:
+            self._configured_version = in_force.version
+
     async def _stop_on_signal(self, server: Server) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
--- a/berylchute/node.py
+++ b/berylchute/node.py
@@ -18,8 +18,9 @@
 from berylchute.peers import PeerCounters, Peers
 from berylchute.replication import Replication
 from berylchute.settings import Settings
-from berylchute.store import Backoff, HttpObjectStore
+from berylchute.store import HttpObjectStore
 from berylchute.types import Clock, MemberView, ObjectStore, PeerSender, StoredObject
+from berylchute.watch import ReadCall, StoreCall, WatchPlan
 
 __all__ = ["ConfigurationInForce", "MonotonicClock", "Node"]
 
@@ -30,7 +31,6 @@
 MESSAGE_BUFFER = 1024
 # How long a fresh process waits for peers' newer configuration before it counts as ready.
 PEER_ANSWER_S = 2.0
-WATCH_PAUSE_S = 0.1  # bounds the calls that a burst of edits causes
 RELAY_CHECK_S = 0.5
 HOSTS_MAX_AGE_S = 5.0
 
@@ -85,7 +85,8 @@
         self._hosts_read_s = float("-inf")
         self._hosts_lock = anyio.Lock()
         self._wake = anyio.Event()
-        self._store_answered = False
+        wait_s = settings.store.watch_wait_ms / 1000.0
+        self._watch = WatchPlan(wait_s, self._objects, self._rng)
         self._peers = Peers(settings.listen.peers, settings.peers, self._clock, self._receive)
         self._membership = Membership(
             _first_record(settings, role), settings.peers.seeds, self._rng, self._started_s
@@ -143,7 +144,9 @@
         if self._in_force is None:
             return False
         waited_s = self._clock.now_s() - self._started_s
-        return (self._membership.is_joined and self._store_answered) or waited_s >= PEER_ANSWER_S
+        return (
+            self._membership.is_joined and self._watch.has_answered
+        ) or waited_s >= PEER_ANSWER_S
 
     def subscribe_objects(self, *keys: str) -> MemoryObjectReceiveStream[StoredObject]:
         """Return a stream of objects as they change, beginning with those already held.
@@ -257,30 +260,27 @@
                 await self._wake.wait()
 
     async def _watch_forever(self) -> None:
-        """Read the store once, then keep a watch open while this process is a relay."""
-        backoff = Backoff(0.2, self._settings.store.watch_wait_ms / 1000.0, self._rng)
         while True:
-            if self._store_answered and not self._membership.is_relay:
+            call = self._watch.next_call(self._membership.is_relay)
+            if call is None:
                 await anyio.sleep(RELAY_CHECK_S)
                 continue
-            wait_s = self._settings.store.watch_wait_ms / 1000.0 if self._store_answered else 0.0
             try:
-                # `revision` of an answer is not used: after a stale answer it could pass over
-                # an object that was not in it.
-                event = await self._store.watch(self._objects.highest_version(), wait_s)
+                found = await self._call_store(call)
             except StoreError as error:
-                delay_s = backoff.next_delay_s()
-                _LOG.warning("store watch failed, next try in %.1f s: %s", delay_s, error)
-                await anyio.sleep(delay_s)
-                continue
-            self._store_answered = True
-            applied = [self.receive_object(stored) for stored in event.objects]
-            if event.objects and not any(applied):
-                # An old answer comes back at once every time; this bounds the repeats.
-                await anyio.sleep(backoff.next_delay_s())
-                continue
-            backoff.reset()
-            await anyio.sleep(WATCH_PAUSE_S)
+                delay_s = self._watch.take_failure()
+                _LOG.warning("store call failed, next in %.1f s: %s", delay_s, error)
+            else:
+                delay_s = self._watch.take_answer(call, found)
+                for stored in found:
+                    self.receive_object(stored)
+            await anyio.sleep(delay_s)
+
+    async def _call_store(self, call: StoreCall) -> Sequence[StoredObject]:
+        if isinstance(call, ReadCall):
+            stored = await self._store.get(call.key)
+            return () if stored is None else (stored,)
+        return (await self._store.watch(call.after_revision, call.wait_s)).objects
 
 
 def _first_record(settings: Settings, role: str) -> MemberRecord:
