Keep idle connections of the load tool in a list per host

Cause: httpcore's pool looks through all connections on every request; the load processes then lagged up to 880 ms and their own delay counted as latency. Change: one connection per exchange from a list of idle ones.

--- a/lab/caller.py
+++ b/lab/caller.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import attrs
 import httpcore
@@ -88,13 +88,62 @@
     not_run: bool = False
 
 
+class Connections:
+    """Keep idle connections per host.
+
+    httpcore's own pool looks through all connections on every request, which slows a load process
+    just when calls pile up.
+    """
+
+    def __init__(self) -> None:
+        self._idle: dict[str, list[httpcore.AsyncHTTPConnection]] = {}
+
+    async def request(
+        self,
+        method: str,
+        url: str,
+        headers: Sequence[tuple[bytes, bytes]],
+        body: bytes,
+        limits: Mapping[str, float],
+    ) -> httpcore.Response:
+        """Make one request; raise httpcore errors."""
+        target = httpcore.URL(url)
+        idle = self._idle.setdefault(str(target.origin), [])
+        connection = None
+        while idle and connection is None:
+            connection = idle.pop()
+            if connection.has_expired() or not connection.is_available():
+                await connection.aclose()
+                connection = None
+        if connection is None:
+            connection = httpcore.AsyncHTTPConnection(target.origin, keepalive_expiry=30.0)
+        complete = False
+        try:
+            response = await connection.request(
+                method, target, headers=headers, content=body, extensions={"timeout": dict(limits)}
+            )
+            complete = True
+        finally:
+            if not complete or not connection.is_available():
+                await connection.aclose()
+            else:
+                idle.append(connection)
+        return response
+
+    async def aclose(self) -> None:
+        """Close the idle connections."""
+        for idle in self._idle.values():
+            for connection in idle:
+                await connection.aclose()
+
+
 class Caller:
     """Make calls from several client addresses with shared connections."""
 
     def __init__(self, spec: CallerSpec, seed: int) -> None:
         self._spec = spec
         self._random = random.Random(f"{seed} caller")
-        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
+        self._connections = Connections()
         self._offers: dict[str, tuple[float, tuple[Host, ...]]] = {}
         self._locating: dict[str, asyncio.Task[None]] = {}
         self._bodies: dict[int, bytes] = {}
@@ -105,8 +154,7 @@
 
     async def aclose(self) -> None:
         """Close all connections."""
-        for pool in self._pools.values():
-            await pool.aclose()
+        await self._connections.aclose()
 
     async def make(self, call: Call, start_s: float, arrival_s: float) -> Record:
         """Make one call to its end and return its record."""
@@ -167,12 +215,12 @@
         left_s = max(0.0, give_up_s - time.monotonic()) + ANSWER_MARGIN_S
         limits = {"connect": CONNECT_TIMEOUT_S, "read": left_s, "write": left_s, "pool": left_s}
         try:
-            response = await self._pool(url).request(
+            response = await self._connections.request(
                 call.method,
                 f"{url}{call.path}{call.identity}",
-                headers=headers,
-                content=body,
-                extensions={"timeout": limits},
+                headers,
+                body,
+                limits,
             )
         except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout):
             return "unsent", "connect", ""
@@ -186,13 +234,6 @@
             self._bodies[size] = random.Random(size).randbytes(size)
         return self._bodies[size]
 
-    def _pool(self, url: str) -> httpcore.AsyncConnectionPool:
-        if url not in self._pools:
-            self._pools[url] = httpcore.AsyncConnectionPool(
-                max_connections=4000, max_keepalive_connections=4000, keepalive_expiry=30.0
-            )
-        return self._pools[url]
-
     async def _hosts(self, address: str) -> tuple[Host, ...]:
         if not address:
             start = self._random.randrange(len(self._spec.fixed_urls))
@@ -217,14 +258,16 @@
         known = self._offers.get(address, (0.0, ()))[1]
         urls = [*self._spec.locator_urls, *(host.url for host in known)]
         limits = dict.fromkeys(("connect", "read", "write", "pool"), CONNECT_TIMEOUT_S)
-        headers: Mapping[str, str] = {"Authorization": f"Bearer {self._spec.operator_token}"}
+        token = f"Bearer {self._spec.operator_token}".encode()
+        headers = [(b"Host", b"lab"), (b"Authorization", token)]
         for url in urls:
             try:
-                response = await self._pool(url).request(
+                response = await self._connections.request(
                     "GET",
                     f"{url}/berylchute/v1/locate?address={address}",
-                    headers=[("Host", "lab"), *headers.items()],
-                    extensions={"timeout": limits},
+                    headers,
+                    b"",
+                    limits,
                 )
                 offer = msgspec.json.decode(response.content, type=_Offer)
             except (
