Add the drain, host_loss and region_loss scenarios

Cause: stops and losses are the deployments' known stress conditions. Change: lab/scenarios/stops.py; the demo declares its drain in the form of berylchute.drains.

--- a/lab/demo.py
+++ b/lab/demo.py
@@ -4,12 +4,12 @@
 import time
 
 import attrs
-import msgspec
 
 from berylchute.exceptions import BerylchuteError
 from lab.launcher import Deployment, read_lists
 from lab.load import LoadResult
-from lab.processes import call, call_json
+from lab.processes import call_json
+from lab.scenarios.stops import declare_drain
 from lab.workload import WORKLOADS, run_load, spread_blocks
 
 __all__ = ["main"]
@@ -46,15 +46,6 @@
     print("locator for 10.10.0.1:", ", ".join(host["position"] for host in answer["hosts"]))
 
 
-def drain_server(deployment: Deployment, server: str) -> None:
-    """Declare a drain of a server in the store."""
-    value = [{"id": "demo-drain", "target": "server", "name": server, "state": "draining"}]
-    url = f"{deployment.store_url}/objects/drains"
-    answer = call("PUT", url, msgspec.json.encode(value), {"If-None-Match": "*"})
-    if answer.status != 200:
-        raise RuntimeError(f"store refused the drain with {answer.status}")
-
-
 def _rows(result: LoadResult) -> list[_Row]:
     rows = []
     for kind in sorted({item.kind for item in result.records}):
@@ -96,7 +87,7 @@
     load = run_load(deployment, "demo", kinds, LOAD_S, processes=1)
     time.sleep(max(0.0, load.start_s + DRAIN_AT_S - time.monotonic()))
     drained = deployment.lists.backend_servers[0].name
-    drain_server(deployment, drained)
+    declare_drain(deployment, "server", drained)
     declared_s = time.monotonic()
     result = load.wait()
     _print_table(_rows(result))
--- a/lab/launcher.py
+++ b/lab/launcher.py
@@ -1,7 +1,6 @@
 """Start and stop the real processes of a deployment on loopback."""
 
 import hashlib
-import importlib.util
 import signal
 import subprocess
 import sys
@@ -185,10 +184,6 @@
 
     def start_locator(self) -> None:
         """Start one locator process in the first zone and wait until it is ready."""
-        if importlib.util.find_spec("berylchute.locatord") is None:
-            # Entry hosts answer locator questions too, so runs need not wait for the program.
-            self.locator_url = next(iter(self.host_urls.values()))
-            return
         http_port, peer_port = free_ports(2)
         self.locator_url = f"http://127.0.0.1:{http_port}"
         zone = self.lists.availability_zones[0].name
--- a/lab/measure.py
+++ b/lab/measure.py
@@ -13,6 +13,7 @@
 from lab.scenario import Options, Report, Scenario
 from lab.scenarios.overhead import overhead
 from lab.scenarios.overload import overload
+from lab.scenarios.stops import drain, host_loss, region_loss
 from lab.scenarios.tail import mixed_sizes, slowed_servers
 from lab.workload import WORKLOADS
 
@@ -23,6 +24,9 @@
     "slowed_servers": slowed_servers,
     "mixed_sizes": mixed_sizes,
     "overload": overload,
+    "drain": drain,
+    "host_loss": host_loss,
+    "region_loss": region_loss,
 }
 LOCK_FILE = Path(tempfile.gettempdir()) / "berylchute-lab.lock"
 
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -1,5 +1,6 @@
 """Form of a scenario's result, and what scenarios share."""
 
+from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from typing import Literal, Protocol
 
@@ -145,9 +146,15 @@
     }
 
 
-def call_figures(deployment: Deployment, result: LoadResult) -> Figures:
-    """Return counts of double runs, wrong answers and false statements that work did not run."""
-    runs = deployment.runs()
+def call_figures(
+    deployment: Deployment, result: LoadResult, lost_runs: Mapping[str, int] | None = None
+) -> Figures:
+    """Return counts of double runs, wrong answers and false statements that work did not run.
+
+    `lost_runs` are those of servers that no longer answer.
+    """
+    runs = Counter(deployment.runs())
+    runs.update(lost_runs or {})
     keyed = [item for item in result.records if item.kind not in ("lookup", "upload")]
     return {
         "double_runs": sum(runs.get(item.identity, 0) > 1 for item in keyed),
--- /dev/null
+++ b/lab/scenarios/stops.py
@@ -0,0 +1,213 @@
+"""Measure drains, planned stops and the loss of hosts and regions."""
+
+import signal
+import time
+from collections.abc import Mapping, Sequence
+
+import msgspec
+
+from lab.launcher import Deployment
+from lab.load import LoadResult
+from lab.processes import call, call_json
+from lab.scenario import (
+    Figures,
+    Options,
+    Report,
+    at_most,
+    call_figures,
+    cap_figures,
+    latency_figures,
+    start_deployment,
+)
+from lab.workload import LoadRun, run_load
+
+__all__ = ["declare_drain", "drain", "host_loss", "region_loss"]
+
+LOOKUP_RATE_PER_S = 200.0
+LEDGER_RATE_PER_S = 40.0
+UPLOAD_RATE_PER_S = 6.0
+RUN_S = 25.0
+FAULT_AT_S = 5.0
+SECOND_FAULT_AT_S = 12.0
+# The platform notices a dead host some seconds later.
+PLATFORM_LAG_S = 3.0
+RECOVERY_BIN_S = 0.25
+RECOVERED_SHARE = 0.99
+
+
+def declare_drain(deployment: Deployment, target: str, name: str, others: bool = False) -> None:
+    """Add a drain to the `drains` object; `others` tells that the object exists."""
+    url = f"{deployment.store_url}/objects/drains"
+    drains = []
+    condition = {"If-None-Match": "*"}
+    if others:
+        current = call("GET", url)
+        drains = msgspec.json.decode(current.content)
+        condition = {"If-Match": dict(current.headers)[b"etag"].decode()}
+    drains.append({"id": f"drain-{name}", "target": target, "name": name, "state": "draining"})
+    answer = call("PUT", url, msgspec.json.encode(drains), condition)
+    if answer.status != 200:
+        raise RuntimeError(f"store refused the drain with {answer.status}")
+
+
+def _start_load(deployment: Deployment, options: Options, name: str) -> LoadRun:
+    workload = options.workload
+    kinds = [
+        workload.lookup(LOOKUP_RATE_PER_S),
+        workload.ledger(LEDGER_RATE_PER_S),
+        workload.upload(UPLOAD_RATE_PER_S, 1_000_000),
+    ]
+    return run_load(deployment, name, kinds, RUN_S, seed=options.seed)
+
+
+def _sleep_until(load: LoadRun, at_s: float) -> float:
+    time.sleep(max(0.0, load.start_s + at_s - time.monotonic()))
+    return time.monotonic()
+
+
+def _cut(result: LoadResult, url: str = "") -> int:
+    """Count calls that ended without a complete answer or a typed refusal."""
+    return sum(
+        item.outcome in ("cut", "wrong", "failed") and item.url.startswith(url)
+        for item in result.records
+    )
+
+
+def drain(options: Options) -> Report:
+    """Drain a server, drain a host by declaration, and stop a host with SIGTERM, under load."""
+    # Uploads of two seconds are in flight at the stops.
+    profiles = options.workload.profiles(upload_ms=2000.0)
+    with start_deployment(options.lists(), profiles, options) as deployment:
+        load = _start_load(deployment, options, "drain")
+        server = deployment.lists.backend_servers[0].name
+        positions = [item.name for item in deployment.lists.host_positions]
+        _sleep_until(load, FAULT_AT_S)
+        declare_drain(deployment, "server", server)
+        server_at_s = time.monotonic()
+        _sleep_until(load, SECOND_FAULT_AT_S)
+        declare_drain(deployment, "host", positions[1], others=True)
+        host_at_s = time.monotonic()
+        deployment.terminate(positions[0])
+        result = load.wait()
+        ended = deployment.processes[positions[0]].popen.poll()
+        stats = {row["name"]: row for row in deployment.server_stats()}
+        figures = latency_figures("all", result) | call_figures(deployment, result)
+        figures["last_new_s"] = round(stats[server]["last_arrival_s"] - server_at_s, 3)
+        declared, stopped = (deployment.host_urls[positions[index]] for index in (1, 0))
+        figures["host_last_new_s"] = _last_accepted_s(result, declared, host_at_s)
+        figures["stopped_host_last_new_s"] = _last_accepted_s(result, stopped, host_at_s)
+        figures["cut"] = _cut(result)
+        figures["host_cut"] = _cut(result, declared) + _cut(result, stopped)
+        figures["stopped_host_exit_code"] = -1 if ended is None else ended
+    targets = (
+        at_most("last_new_s", figures["last_new_s"], 2.0),
+        at_most("cut", figures["cut"], 0.0),
+        at_most("host_last_new_s", figures["host_last_new_s"], 2.0),
+        at_most("stopped_host_last_new_s", figures["stopped_host_last_new_s"], 2.0),
+        at_most("host_cut", figures["host_cut"], 0.0),
+    )
+    return Report("drain", options.deployment, options.seed, figures, {}, targets)
+
+
+def _last_accepted_s(result: LoadResult, url: str, since_s: float) -> float:
+    """Return when the last request that a host accepted was sent, after a moment."""
+    sent = [
+        item.sent_s
+        for item in result.records
+        if item.url == url and item.outcome in ("ok", "cut", "failed", "wrong")
+    ]
+    return round(max(0.0, result.start_s + max(sent, default=0.0) - since_s), 3)
+
+
+def _recovery_s(result: LoadResult, after_s: float) -> float:
+    """Return the time from a fault until every later interval answers 99% of short work."""
+    bins: dict[int, list[bool]] = {}
+    for item in result.of(["lookup"], after_s).records:
+        number = int((item.arrival_s - after_s) / RECOVERY_BIN_S)
+        bins.setdefault(number, []).append(item.outcome == "ok")
+    bad = [
+        number for number, answers in bins.items() if sum(answers) < RECOVERED_SHARE * len(answers)
+    ]
+    return round((max(bad) + 1) * RECOVERY_BIN_S, 2) if bad else 0.0
+
+
+def _fault_figures(
+    deployment: Deployment, result: LoadResult, lost_runs: Mapping[str, int] | None = None
+) -> Figures:
+    figures = latency_figures("all", result)
+    caps = cap_figures(deployment)
+    figures |= caps | call_figures(deployment, result, lost_runs)
+    figures["recovery_s"] = _recovery_s(result, FAULT_AT_S)
+    figures["cap_peak"] = max(caps["server_peak"], caps["region_peak"])
+    figures["p99_after_fault_ms"] = result.of(["lookup"], FAULT_AT_S).percentile_ms(99)
+    return figures
+
+
+def _fault_report(name: str, options: Options, figures: Figures) -> Report:
+    targets = (
+        at_most("recovery_s", figures["recovery_s"], 5.0),
+        at_most("cap_peak", figures["cap_peak"], 1.0),
+        at_most("double_runs", figures["double_runs"], 0.0),
+        at_most("wrong_answers", figures["wrong_answers"], 0.0),
+        at_most("false_not_run", figures["false_not_run"], 0.0),
+    )
+    return Report(name, options.deployment, options.seed, figures, {}, targets)
+
+
+def _list_gone(deployment: Deployment, positions: Sequence[str]) -> None:
+    for position in positions:
+        deployment.list_host(deployment.host_id(position), "gone")
+
+
+def host_loss(options: Options) -> Report:
+    """Kill one host under load, then replace it, and pause another host for two seconds."""
+    profiles = options.workload.profiles()
+    with start_deployment(options.lists(), profiles, options) as deployment:
+        load = _start_load(deployment, options, "host-loss")
+        first, second = (item.name for item in deployment.lists.host_positions[:2])
+        _sleep_until(load, FAULT_AT_S)
+        deployment.kill(first)
+        _sleep_until(load, FAULT_AT_S + PLATFORM_LAG_S)
+        _list_gone(deployment, [first])
+        deployment.start_hosts([first], ready=False)
+        _sleep_until(load, SECOND_FAULT_AT_S)
+        deployment.pause(second)
+        time.sleep(2.0)
+        deployment.resume(second)
+        result = load.wait()
+        figures = _fault_figures(deployment, result)
+    figures["recovery_s"] = _recovery_s(
+        LoadResult(
+            result.start_s,
+            result.duration_s,
+            tuple(r for r in result.records if r.arrival_s < SECOND_FAULT_AT_S),
+        ),
+        FAULT_AT_S,
+    )
+    figures["paused_recovery_s"] = _recovery_s(result, SECOND_FAULT_AT_S)
+    return _fault_report("host_loss", options, figures)
+
+
+def region_loss(options: Options) -> Report:
+    """Kill every host and server of one region under load."""
+    profiles = options.workload.profiles()
+    with start_deployment(options.lists(), profiles, options) as deployment:
+        load = _start_load(deployment, options, "region-loss")
+        lists = deployment.lists
+        region = lists.regions[1].name
+        lost = [
+            item.name
+            for item in lists.host_positions
+            if lists.region_of(item.availability_zone) == region
+        ]
+        _sleep_until(load, FAULT_AT_S)
+        # Runs of the moment between this query and the kill stay unseen.
+        lost_runs = call_json("GET", f"{deployment.control_urls.pop(region)}/runs")
+        for position in lost:
+            deployment.processes[position].send_signal(signal.SIGKILL)
+        deployment.kill(f"servers-{region}")
+        _sleep_until(load, FAULT_AT_S + PLATFORM_LAG_S)
+        _list_gone(deployment, lost)
+        result = load.wait()
+        figures = _fault_figures(deployment, result, lost_runs)
+    return _fault_report("region_loss", options, figures)
