Wire shifts, claims and health polling into the entry program

Cause: shares were in force without a claim of the position, shifts had no runner in the program, and a leaving server's own report was not read. Change: Traffic owns drains, shifts, claims and health polling; the ledger's shares come from the share gate; headroom is reported by service and region and by link.

--- a/berylchute/entry.py
+++ b/berylchute/entry.py
@@ -17,9 +17,8 @@
 from berylchute.borrowing import Peer
 from berylchute.config import Configuration
 from berylchute.dispatch import CapacityPlacer
-from berylchute.drains import DRAINS_KEY, DrainSet
 from berylchute.endpoints import Endpoints
-from berylchute.exceptions import ConfigError, SettingsError
+from berylchute.exceptions import SettingsError
 from berylchute.exchange import HttpExchanger
 from berylchute.explaining import Explanation, SampleSink, explain
 from berylchute.forwarding import Forwarder
@@ -37,8 +36,9 @@
 from berylchute.ownership import Ownership
 from berylchute.routing import NextRegionFirst, Router
 from berylchute.settings import Settings, load
-from berylchute.shares import base_shares, connection_shares, server_resource
+from berylchute.shares import base_shares, connection_shares
 from berylchute.tracing import RecentRequests, Tracer, TraceSink
+from berylchute.traffic import Traffic, headroom
 from berylchute.types import MemberState, StoredObject
 
 __all__ = ["Entry", "main"]
@@ -52,14 +52,6 @@
 logger = logging.getLogger(__name__)
 
 
-class _NoShifts:
-    """Answer that no shift runs."""
-
-    def region_weights(self, service: str, region: str) -> Mapping[str, float]:
-        """Return no weights."""
-        return {}
-
-
 class _NoLinkLimits:
     """Answer that no link delays bytes."""
 
@@ -78,9 +70,10 @@
         record = self._node.record
         self.state = GatewayState()
         self._is_stopping = False
-        self._drains = DrainSet()
         self._background = Background()
         self._ledger = Ledger()
+        self._observer = ServerObserver(record.availability_zone, record.region)
+        self._traffic = Traffic(self._node, self._ledger, self._observer)
         self._shares: Mapping[str, Mapping[str, int]] = {}
         self._lending = Lending(
             record.host_id, record.position, record.incarnation, record.peer_address, self._ledger
@@ -99,14 +92,14 @@
         self.gateway = self._compose_gateway()
 
     def _compose_placer(self) -> CapacityPlacer:
-        observer, reserve, rng = ServerObserver(), ShortReserve(), random.Random()
+        observer, reserve, rng = self._observer, ShortReserve(), random.Random()
         router = Router(
             self._settings.host.availability_zone,
             self._settings.host.region,
             observer,
             self._ledger,
-            self._drains,
-            _NoShifts(),
+            self._traffic.drains,
+            self._traffic.shifts,
             _NoLinkLimits(),
             reserve,
             NextRegionFirst(),
@@ -181,6 +174,7 @@
             background.start(self._loans.run)
             background.start(self._placer.run)
             background.start(self.gateway.watch_callers)
+            background.start(self._traffic.run)
             background.start(self._report)
             background.start(self._flush_logs)
             background.start(self._stop_on_signal, server)
@@ -190,42 +184,22 @@
         self._request_log.flush()
 
     async def _follow_configuration(self) -> None:
-        async for stored in self._node.subscribe_objects("config", DRAINS_KEY):
+        async for _ in self._node.subscribe_objects("config"):
             in_force = self._node.in_force
-            if stored.key == DRAINS_KEY:
-                self._take_drains(stored)
-            elif in_force is not None:
+            if in_force is not None:
                 self._configure(in_force)
 
-    def _take_drains(self, stored: StoredObject) -> None:
-        try:
-            self._drains.replace(stored.value)
-        except ConfigError as error:
-            logger.error("drains not taken: %s", error, extra={"version": stored.version})
-        self._update_leaving()
-
-    def _update_leaving(self) -> None:
-        """Turn callers away while this process stops or its host is drained."""
-        host, is_draining = self._settings.host, self._drains.is_draining
-        self.state.leaving = (
-            self._is_stopping
-            or is_draining("host", host.position)
-            or is_draining("availability_zone", host.availability_zone)
-            or is_draining("region", host.region)
-        )
-
     def _configure(self, in_force: ConfigurationInForce) -> None:
         configuration, position = in_force.configuration, self._settings.host.position
         self._shares = base_shares(configuration)
         own = self._shares.get(position, {})
-        self._ledger.set_shares(own)
         self._lending.set_peers(self._lenders(configuration))
         self._placer.configure(
             configuration, own, connection_shares(configuration).get(position, {})
         )
         self._locator.configure(configuration, in_force.version)
         self.state.configure(configuration)
-        self._node.set_settled_version(in_force.version)
+        self._traffic.configure(configuration, own)
 
     def _lenders(self, configuration: Configuration) -> list[Peer]:
         delays_ms = {
@@ -256,15 +230,16 @@
     async def _report(self) -> None:
         """Keep the member record, the lenders and the locator current."""
         is_ready = False
-        headroom: dict[str, int] = {}
+        reported: dict[str, int] = {}
         while True:
             in_force = self._node.in_force
             if in_force is not None and self.state.kinds is not None:
                 self._lending.set_peers(self._lenders(in_force.configuration))
-                free = self._headroom(in_force.configuration)
-                if free != headroom:
-                    headroom = free
+                free = headroom(in_force.configuration, self._ledger, self._clock.now_s())
+                if free != reported:
+                    reported = free
                     self._node.set_headroom(free)
+            self.state.leaving = self._is_stopping or self._traffic.is_host_drained()
             self._locator.update(self._node.members.statuses())
             if self._is_ready() != is_ready:
                 is_ready = not is_ready
@@ -274,14 +249,6 @@
                 self._node.set_owner_epoch(epoch)
             await anyio.sleep(REPORT_S)
 
-    def _headroom(self, configuration: Configuration) -> dict[str, int]:
-        now_s = self._clock.now_s()
-        free: dict[str, int] = {}
-        for server in configuration.backend_servers:
-            units = self._ledger.free_units(server_resource(server.name), now_s + 1.0, now_s)
-            free[server.service] = free.get(server.service, 0) + units
-        return free
-
     async def _flush_logs(self) -> None:
         while True:
             await anyio.sleep(LOG_FLUSH_S)
@@ -293,7 +260,7 @@
                 break
         logger.info("leaving", extra={"in_flight": self.state.in_flight})
         self._is_stopping = True
-        self._update_leaving()
+        self.state.leaving = True
         self._node.announce_leaving()
         await anyio.sleep(LINGER_S)
         timeout_s = self._settings.limits.shutdown_timeout_ms / 1000.0
--- a/berylchute/locator.py
+++ b/berylchute/locator.py
@@ -97,7 +97,9 @@
                 continue
             record = status.record
             hosts.setdefault(record.availability_zone, []).append(_offer(status))
-            free = sum(record.free_units.values())
+            # Links are counted in other units than slots.
+            slots = {k: units for k, units in record.free_units.items() if k[:5] != "link:"}
+            free = sum(slots.values())
             bound = HEADROOM_ENOUGH if record.position in self._low else HEADROOM_LOW
             if record.free_units and free < bound:
                 low.add(record.position)
--- /dev/null
+++ b/berylchute/traffic.py
@@ -0,0 +1,141 @@
+"""Follow drains, shifts, claims and health for the entry program."""
+
+import logging
+from collections.abc import Mapping
+from random import Random
+
+import anyio
+
+from berylchute.balance import ServerObserver
+from berylchute.claims import ClaimIdentity, ClaimTask
+from berylchute.config import Configuration
+from berylchute.drains import DRAINS_KEY, DrainSet
+from berylchute.exceptions import ConfigError
+from berylchute.health import HealthPoller
+from berylchute.ledger import Ledger
+from berylchute.node import Node
+from berylchute.shares import link_resource, server_resource
+from berylchute.shiftrunner import ShiftRunner, headroom_key
+from berylchute.shifts import SHIFTS_KEY, ShiftSet
+from berylchute.splits import ShareGate
+from berylchute.types import StoredObject
+
+__all__ = ["Traffic", "headroom"]
+
+logger = logging.getLogger(__name__)
+
+
+def headroom(configuration: Configuration, ledger: Ledger, now_s: float) -> dict[str, int]:
+    """Return this host's free slots by service and region, and free units by link."""
+    region_of = {zone.name: zone.region for zone in configuration.availability_zones}
+    free: dict[str, int] = {}
+    for server in configuration.backend_servers:
+        units = ledger.free_units(server_resource(server.name), now_s + 1.0, now_s)
+        if units:
+            key = headroom_key(server.service, region_of[server.availability_zone])
+            free[key] = free.get(key, 0) + units
+    for link in configuration.links:
+        resource = link_resource(link.from_region, link.to_region)
+        units = ledger.free_units(resource, now_s + 1.0, now_s)
+        if units:
+            free[resource] = units
+    return free
+
+
+class Traffic:
+    """Own the declared drains and shifts, and the tasks that act on them."""
+
+    def __init__(self, node: Node, ledger: Ledger, observer: ServerObserver) -> None:
+        self.drains = DrainSet()
+        self.shifts = ShiftSet()
+        self._node = node
+        self._observer = observer
+        record = node.record
+        self._health = HealthPoller(node.clock, observer.record_report, self.drains.set_reported)
+        self._runner = ShiftRunner(
+            record.host_id,
+            node.store,
+            node.members,
+            observer,
+            self.shifts,
+            node.clock,
+            node.receive_object,
+        )
+        gate = ShareGate(
+            record.host_id, record.position, record.incarnation, node.clock.now_s(), ledger
+        )
+        self._claims = ClaimTask(
+            ClaimIdentity(record.host_id, record.position, record.incarnation),
+            gate,
+            node.store,
+            node.objects,
+            node.members,
+            node.clock,
+            Random(),
+            node.receive_object,
+            node.set_settled_version,
+            node.list_platform_hosts,
+        )
+
+    def configure(self, configuration: Configuration, own_shares: Mapping[str, int]) -> None:
+        """Poll the health of the servers in which this host has a share."""
+        self._health.configure(
+            {
+                server.name: server
+                for server in configuration.backend_servers
+                if own_shares.get(server_resource(server.name), 0)
+            }
+        )
+
+    def is_host_drained(self) -> bool:
+        """Return whether this host, its availability zone or its region drains."""
+        record, is_draining = self._node.record, self.drains.is_draining
+        return (
+            is_draining("host", record.position)
+            or is_draining("availability_zone", record.availability_zone)
+            or is_draining("region", record.region)
+        )
+
+    async def run(self) -> None:
+        """Run the tasks until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._follow_objects)
+            tasks.start_soon(self._health.run)
+            tasks.start_soon(self._claims.run)
+            tasks.start_soon(self._runner.run, self._configuration)
+
+    def _configuration(self) -> Configuration | None:
+        in_force = self._node.in_force
+        return None if in_force is None else in_force.configuration
+
+    async def _follow_objects(self) -> None:
+        async for stored in self._node.subscribe_objects(DRAINS_KEY, SHIFTS_KEY):
+            try:
+                self._take(stored)
+            except ConfigError as error:
+                logger.error("%s not taken: %s", stored.key, error)
+
+    def _take(self, stored: StoredObject) -> None:
+        if stored.key == DRAINS_KEY:
+            self.drains.replace(stored.value)
+            return
+        before = {shift.id: shift.current_percent for shift in self.shifts.shifts}
+        self.shifts.replace(stored.value)
+        for shift in self.shifts.shifts:
+            if shift.current_percent > 0 and shift.id not in before:
+                self._restart_slowly(shift.service, shift.to_region)
+
+    def _restart_slowly(self, service: str, region: str) -> None:
+        """Give the servers that a shift reaches first a rising share: their caches are cold."""
+        configuration = self._configuration()
+        if configuration is None:
+            return
+        region_of = {zone.name: zone.region for zone in configuration.availability_zones}
+        self._observer.restart_slowly(
+            [
+                server.name
+                for server in configuration.backend_servers
+                if server.service == service and region_of[server.availability_zone] == region
+            ],
+            self._node.clock.now_s(),
+        )
