Count waiting demand, bound body reads by the deadline and contain failures

Cause: a pump noted one unit of demand however many requests waited, a plan at its allowance held up other plans, a caller could send its body for ever, an unexpected exception in a cancellation ended the process, and pools of former addresses kept their connections.

Change: waiting requests are noted once per lending tick each; a request starts at once unless one with the same need waits; bodies held whole are read within the deadline; tasks of requests log their failures, and an internal failure answers 500 `internal` with `not_run: false`; pools unused for 120 s are closed; a stopping host returns its loans.

--- a/berylchute/background.py
+++ b/berylchute/background.py
@@ -1,6 +1,7 @@
 """Run tasks and timers that outlive the request that started them."""
 
 import asyncio
+import logging
 from collections.abc import Callable, Coroutine
 from types import TracebackType
 from typing import Any, Protocol
@@ -8,6 +9,8 @@
 import anyio
 from anyio.abc import TaskGroup
 
+logger = logging.getLogger(__name__)
+
 __all__ = ["Background", "Timer"]
 
 
@@ -49,6 +52,10 @@
         assert self._tasks is not None
         self._tasks.start_soon(function, *arguments)
 
+    def spawn(self, function: Callable[..., Coroutine[Any, Any, Any]], *arguments: Any) -> None:
+        """Start a task of one request; an exception in it is logged and ends only the task."""
+        self.start(_log_failure, function, *arguments)
+
     def call_later(self, delay_s: float, function: Callable[..., None], *arguments: Any) -> Timer:
         """Call a function after `delay_s` seconds.
 
@@ -57,3 +64,10 @@
         """
         assert self._loop is not None
         return self._loop.call_later(delay_s, function, *arguments)
+
+
+async def _log_failure(function: Callable[..., Coroutine[Any, Any, Any]], *arguments: Any) -> None:
+    try:
+        await function(*arguments)
+    except Exception:
+        logger.exception("task failed")
--- a/berylchute/dispatch.py
+++ b/berylchute/dispatch.py
@@ -2,8 +2,9 @@
 
 import heapq
 import random
+from collections import Counter, deque
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, TypeAlias
 
 import anyio
 import attrs
@@ -13,16 +14,19 @@
 from berylchute.config import Configuration
 from berylchute.exceptions import RoutingError
 from berylchute.exchange import ServerTarget
+from berylchute.lending import TICK_S as LENDING_TICK_S
 from berylchute.refusals import RefusalCode, RefusedError
 from berylchute.routing import Candidate, Route, RouteAction, Router, RouteRequest
 from berylchute.tracing import QUEUE, SLOT
-from berylchute.types import CapacityLedger, Clock, Hold, ResourceId
+from berylchute.types import CapacityLedger, Clock, Hold, ResourceId, ResourceUnits
 from berylchute.work import AttemptEnd, Placement, Work, split_address
 
 __all__ = ["CapacityPlacer", "HeldPlacement"]
 
 # Units come back without an event when holds or loans expire; waiting work looks again this often.
 TICK_S = 0.01
+# Wanted servers remembered per need, so that demand spreads over them.
+WANTED_KEPT = 8
 _REFUSALS: Mapping[RefusalReason, tuple[RefusalCode, str]] = {
     RefusalReason.QUEUE_FULL: (RefusalCode.QUEUE_FULL, "the queue of the service is full"),
     RefusalReason.DEADLINE_UNREACHABLE: (
@@ -33,6 +37,22 @@
 }
 
 
+Units: TypeAlias = tuple[ResourceUnits, ...]
+
+
+@attrs.frozen
+class _Need:
+    """Requests with the same need can use the same units."""
+
+    service: str
+    plan: str
+    size: str
+
+
+def _need(work: Work) -> _Need:
+    return _Need(work.kind.service, work.caller.plan, work.kind.size)
+
+
 @attrs.define(eq=False)
 class HeldPlacement(Placement):
     """A placement with the units that it holds."""
@@ -76,6 +96,9 @@
         self._waiters: dict[str, _Waiter] = {}
         self._targets: dict[str, ServerTarget] = {}
         self._abandoned: list[tuple[float, int, HeldPlacement]] = []
+        self._waiting: Counter[_Need] = Counter()
+        self._wanted: dict[_Need, deque[Units]] = {}
+        self._noted_s = 0.0
 
     def configure(
         self,
@@ -103,9 +126,8 @@
         """Wait for a server; raise RefusedError when none may be used."""
         queue = self._queues[work.kind.service]
         start_s = self._clock.now_s()
-        placement: HeldPlacement | None = None
-        # Work that waits goes first, unless it cannot use what this request can.
-        if not len(queue):
+        # Free units are left over by work that waits, unless that work needs the same ones.
+        if not self._waiting[_need(work)]:
             placement = self._start(work, excluded, may_move=False, now_s=start_s)
             if placement is not None:
                 work.record.stage_s[SLOT] += self._clock.now_s() - start_s
@@ -153,6 +175,21 @@
             if len(queue):
                 self._refuse_all(queue.drop_expired(now_s))
                 self._pump(service)
+        if self._waiters and now_s - self._noted_s >= LENDING_TICK_S:
+            self._noted_s = now_s
+            self._note_waiting(now_s)
+
+    def _note_waiting(self, now_s: float) -> None:
+        """Note the demand of each waiting request once per tick of lending.
+
+        Routing every one of them again would cost more than the tick; the last wanted servers
+        of their kind of need stand for all.
+        """
+        for number, waiter in enumerate(self._waiters.values()):
+            wanted = self._wanted.get(_need(waiter.work))
+            if wanted and waiter.placement is None:
+                units = wanted[number % len(wanted)]
+                self._ledger.note_demand(units, waiter.work.deadline_s, now_s)
 
     async def run(self) -> None:
         """Tick until cancelled."""
@@ -175,6 +212,7 @@
         )
         waiter = _Waiter(work, excluded, anyio.Event())
         self._waiters[queued.request_id] = waiter
+        self._waiting[_need(work)] += 1
         try:
             self._refuse_all(queue.offer(queued, now_s))
             self._pump(work.kind.service)
@@ -186,6 +224,7 @@
             raise
         finally:
             self._waiters.pop(queued.request_id, None)
+            self._waiting[_need(work)] -= 1
             queue.remove(queued.request_id)
         if waiter.error is not None:
             raise waiter.error
@@ -269,16 +308,21 @@
                 return self._hold(work, candidate, hold, now_s)
         if is_extra:
             return None
-        self._leave(work, route, now_s)
+        self._leave(work, route, queued, now_s)
         return None
 
-    def _leave(self, work: Work, route: Route, now_s: float) -> None:
+    def _leave(self, work: Work, route: Route, queued: QueuedRequest | None, now_s: float) -> None:
         """Note what the work lacks; raise RefusedError when waiting cannot help."""
         if route.action is RouteAction.NONE_ALLOWED:
             work.record.routes.append(route)
             raise RefusedError(RefusalCode.NO_ROUTE, "no backend server is allowed", not_run=True)
         if route.wanted is not None:
-            self._ledger.note_demand(route.wanted.units, work.deadline_s, now_s)
+            need, units = _need(work), route.wanted.units
+            if need not in self._wanted:
+                self._wanted[need] = deque(maxlen=WANTED_KEPT)
+            self._wanted[need].append(units)
+            if queued is None:
+                self._ledger.note_demand(units, work.deadline_s, now_s)
         if route.action is RouteAction.DISPLACE:
             self._queues[work.kind.service].displace(work.attempt_prefix)
 
--- a/berylchute/entry.py
+++ b/berylchute/entry.py
@@ -48,6 +48,9 @@
 DRAIN_POLL_S = 0.02
 REPORT_S = 0.25
 LOG_FLUSH_S = 0.2
+POOL_CHECK_S = 15.0
+# Above the longest deadline, so that no request can still use the pool.
+POOL_UNUSED_S = 120.0
 
 logger = logging.getLogger(__name__)
 
@@ -183,6 +186,7 @@
             background.start(self.gateway.watch_callers)
             background.start(self._report)
             background.start(self._flush_logs)
+            background.start(self._close_pools)
             background.start(self._stop_on_signal, server)
             await server.serve()
             tasks.cancel_scope.cancel()
@@ -287,6 +291,11 @@
             await anyio.sleep(LOG_FLUSH_S)
             self._request_log.flush()
 
+    async def _close_pools(self) -> None:
+        while True:
+            await anyio.sleep(POOL_CHECK_S)
+            await self._exchanger.close_unused(POOL_UNUSED_S)
+
     async def _stop_on_signal(self, server: Server) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
@@ -299,9 +308,15 @@
         timeout_s = self._settings.limits.shutdown_timeout_ms / 1000.0
         with anyio.move_on_after(timeout_s):
             while self.state.in_flight:
+                self._return_loans()
                 await anyio.sleep(DRAIN_POLL_S)
+        self._return_loans()
         server.should_exit = True
 
+    def _return_loans(self) -> None:
+        for outgoing in self._lending.borrower.return_all(self._clock.now_s()):
+            self._node.peers.send(outgoing.address, outgoing.message)
+
 
 app = cyclopts.App(name="berylchute-entry", version=__version__, help=__doc__)
 
--- a/berylchute/exchange.py
+++ b/berylchute/exchange.py
@@ -172,8 +172,10 @@
         self._clock = clock
         self._backend = network_backend or StreamBackend()
         self._pools: dict[ServerTarget, httpcore.AsyncConnectionPool] = {}
+        self._used_s: dict[ServerTarget, float] = {}
 
     def _pool(self, target: ServerTarget) -> httpcore.AsyncConnectionPool:
+        self._used_s[target] = self._clock.now_s()
         pool = self._pools.get(target)
         if pool is None:
             pool = httpcore.AsyncConnectionPool(
@@ -184,6 +186,18 @@
             self._pools[target] = pool
         return pool
 
+    async def close_unused(self, unused_s: float) -> None:
+        """Close pools without use for `unused_s`; it must exceed the longest deadline.
+
+        A changed address or connection limit makes a new pool, so old ones would hold on to
+        their idle connections.
+        """
+        now_s = self._clock.now_s()
+        old = [target for target, used_s in self._used_s.items() if now_s - used_s > unused_s]
+        for target in old:
+            del self._used_s[target]
+            await self._pools.pop(target).aclose()
+
     async def aclose(self) -> None:
         """Close every connection."""
         pools, self._pools = self._pools, {}
--- a/berylchute/forwarding.py
+++ b/berylchute/forwarding.py
@@ -143,7 +143,7 @@
             if race.hedge_scope is not None:
                 race.hedge_scope.cancel()
             if race.answer is not None and race.answer is not answer:
-                self._background.start(partial(self.close, race.answer, is_complete=False))
+                self._background.spawn(partial(self.close, race.answer, is_complete=False))
 
     async def _race(
         self, work: Work, placement: Placement, attempt: Attempt, race: _Race
@@ -182,7 +182,7 @@
         race.hedge_scope = anyio.CancelScope(deadline=work.deadline_s)
         attempt = self._new_attempt(work, placement)
         attempt.hedge = True
-        self._background.start(self._hedge, work, race, placement, attempt)
+        self._background.spawn(self._hedge, work, race, placement, attempt)
 
     async def _hedge(self, work: Work, race: _Race, placement: Placement, attempt: Attempt) -> None:
         assert race.hedge_scope is not None and race.hedge_done is not None
@@ -242,7 +242,7 @@
         """Keep the units of an attempt that may still run, and ask its server to stop it."""
         self._placer.finish(placement, end, confirmed=False)
         if attempt is not None:
-            self._background.start(self._cancel, placement, attempt)
+            self._background.spawn(self._cancel, placement, attempt)
 
     async def _cancel(self, placement: Placement, attempt: Attempt) -> None:
         confirmed = await self._exchanger.cancel(placement.target, attempt.attempt_id)
--- a/berylchute/gateway.py
+++ b/berylchute/gateway.py
@@ -1,6 +1,7 @@
 """Serve callers over ASGI: authenticate, forward and answer."""
 
 import itertools
+import logging
 from collections.abc import Sequence
 
 import anyio
@@ -34,6 +35,8 @@
 
 __all__ = ["Gateway", "GatewayState"]
 
+logger = logging.getLogger(__name__)
+
 BUFFERED_BODY_BYTES = 65536
 WATCH_INTERVAL_S = 0.05
 WATCH_AFTER_S = 0.1
@@ -129,7 +132,7 @@
                 # A body that is still arriving is read by its own request, which sees the end.
                 if isinstance(work.body, bytes) or work.body.complete:
                     work.is_watched = True
-                    self._background.start(_watch, work)
+                    self._background.spawn(_watch, work)
 
     async def _serve(
         self, scope: Scope, receive: Receive, send: Send, record: RequestRecord, own_id: str
@@ -150,6 +153,14 @@
             await self._refuse(scope, send, record, error)
         except CallerGone:
             record.outcome = "caller_gone"
+        except Exception:
+            logger.exception("request failed", extra={"request_id": record.request_id})
+            record.outcome = "failed"
+            if record.status:
+                # The answer has begun; only a closed connection tells that it is not whole.
+                raise
+            failure = RefusedError(RefusalCode.INTERNAL, "see the log", not_run=False)
+            await self._refuse(scope, send, record, failure)
         finally:
             if work is not None:
                 self._active.discard(work)
@@ -174,15 +185,16 @@
         # A leaving owner still answers repeats of keys that it ran.
         if state.leaving and (kind.idempotent or not intake.key):
             raise RefusedError(RefusalCode.LEAVING, "use another entry host", not_run=True)
-        body = await self._read_body(intake, kind, receive)
-        headers = self._forwarded_headers(scope, intake, body, caller)
-        target: bytes = scope["raw_path"]
-        if scope["query_string"]:
-            target = target + b"?" + scope["query_string"]
         deadline_ms = min(
             kind.deadline_max_ms,
             kind.deadline_default_ms if intake.deadline_ms is None else intake.deadline_ms,
         )
+        deadline_s = record.started_s + deadline_ms / 1000.0
+        body = await self._read_body(intake, kind, receive, deadline_s)
+        headers = self._forwarded_headers(scope, intake, body, caller)
+        target: bytes = scope["raw_path"]
+        if scope["query_string"]:
+            target = target + b"?" + scope["query_string"]
         record.stage_s[ENTRY] = self._clock.now_s() - record.started_s
         return Work(
             record,
@@ -192,7 +204,7 @@
             target,
             headers,
             body,
-            record.started_s + deadline_ms / 1000.0,
+            deadline_s,
             own_id,
             # Non-idempotent work goes on without its caller, whose repeat then finds the answer.
             receive if kind.idempotent else None,
@@ -213,14 +225,17 @@
         headers.append((b"Berylchute-Host", self._host))
         return headers
 
-    async def _read_body(self, intake: Intake, kind: Kind, receive: Receive) -> bytes | BodyStream:
+    async def _read_body(
+        self, intake: Intake, kind: Kind, receive: Receive, deadline_s: float
+    ) -> bytes | BodyStream:
         if not intake.chunked and not intake.content_length:
             return b""
-        if not kind.idempotent:
+        is_short = not intake.chunked and (intake.content_length or 0) <= BUFFERED_BODY_BYTES
+        if kind.idempotent and not is_short:
+            return CallerBody(receive, self._limits.body_bytes_max)
+        with anyio.CancelScope(deadline=deadline_s):
             return await read_whole(receive, min(KEYED_BODY_BYTES_MAX, self._limits.body_bytes_max))
-        if not intake.chunked and (intake.content_length or 0) <= BUFFERED_BODY_BYTES:
-            return await read_whole(receive, BUFFERED_BODY_BYTES)
-        return CallerBody(receive, self._limits.body_bytes_max)
+        raise RefusedError(RefusalCode.DEADLINE_PASSED, "the body came too late", not_run=True)
 
     async def _refuse(
         self, scope: Scope, send: Send, record: RequestRecord, error: RefusedError
