Add tests of the decision core, lab.decide and lab.spillover

Nothing guarded the queue order, reserves, budgets, ejection bound, drains and plans. The queue tried each waiting request at each release; requests alike are now tried once.

--- a/berylchute/admission.py
+++ b/berylchute/admission.py
@@ -29,8 +29,6 @@
 DEVIATIONS = 2.0
 # Means fade without new samples; a mean that refuses all work would otherwise never change.
 FADE_S = 2.0
-# Bounds the work of one `take` when requests at the head cannot start.
-SCAN_MAX = 32
 
 
 class RefusalReason(StrEnum):
@@ -67,6 +65,7 @@
     request: QueuedRequest
     order: tuple[float, int]
     may_move: bool = False
+    tried: bool = False
 
 
 def _order(entry: _Entry) -> tuple[float, int]:
@@ -120,7 +119,10 @@
     def offer(self, request: QueuedRequest, now_s: float) -> tuple[Refusal, ...]:
         """Queue a request; return the refusals this causes, perhaps of the request itself."""
         refusals = list(self.drop_expired(now_s))
-        insort(self._entries, _Entry(request, (request.deadline_s, self._count)), key=_order)
+        entry = _Entry(request, (request.deadline_s, self._count))
+        if self._is_late(entry, now_s):
+            return (*refusals, Refusal(request, RefusalReason.DEADLINE_UNREACHABLE))
+        insort(self._entries, entry, key=_order)
         self._count += 1
         if len(self._entries) > self.length_max:
             refusals.append(self._refuse_lowest(RefusalReason.QUEUE_FULL, self._entries))
@@ -144,11 +146,19 @@
         """
         while True:
             displaced = self._displaced
-            for entry in self._entries[:SCAN_MAX]:
+            blocked: set[tuple[str, str, bool]] = set()
+            for entry in tuple(self._entries):
+                key = (entry.request.plan, entry.request.kind, entry.may_move)
+                # Requests alike fail alike; trying each would cost a decision per request that
+                # waits. A new one is tried once because its longer wait may make it move.
+                if key in blocked and entry.tried:
+                    continue
+                entry.tried = True
                 if try_start(entry.request, entry.may_move):
                     self._record_start(now_s)
                     self._remove(entry)
                     return entry.request
+                blocked.add(key)
             # `try_start` may have displaced a request passed over before; it may go on now.
             if self._displaced == displaced:
                 return None
@@ -176,6 +186,7 @@
             if lower and not entry.may_move:
                 entry.order, own.order = own.order, entry.order
                 entry.may_move = True
+                entry.tried = False
                 self._displaced += 1
                 self._entries.sort(key=_order)
                 return entry.request
--- a/berylchute/balance.py
+++ b/berylchute/balance.py
@@ -15,18 +15,21 @@
 # Assumed until siblings have answered; low, so that unknown servers are tried.
 INITIAL_LATENCY_S = 0.001
 LATENCY_MIN_S = 0.0001
+# Bounds the error from a configured distance that is too long.
+OWN_FRACTION_MIN = 0.2
 # A peak counts for about this long; shorter forgets a noisy neighbour between two requests.
 PEAK_DECAY_S = 2.0
 # A server that gets no requests is taken for an average one again after about this time;
 # otherwise one that was slow once would never be tried again under light load.
 FORGET_S = 10.0
 GAIN_MIN = 0.05
-LOG_GAIN = 0.15
+# With exponential service times these leave four standard deviations to a false judgement.
+LOG_GAIN = 0.08
 SLOW_START_S = 10.0
+SLOW_RATIO = 3.0
 # Fewer samples or siblings give no usable median.
-SAMPLES_MIN = 4
+SAMPLES_MIN = 8
 SIBLINGS_MIN = 3
-SLOW_RATIO = 2.5
 SAMPLE_AGE_MAX_S = 10.0
 JUDGE_INTERVAL_S = 0.25
 WEIGHT_MIN = 0.1
@@ -89,7 +92,7 @@
 
     def add_sample(self, latency_s: float, now_s: float) -> None:
         """Count a latency, less the round trip, in the peak-EWMA and the logarithmic mean."""
-        own_s = max(latency_s - self.round_trip_s, LATENCY_MIN_S)
+        own_s = max(latency_s - self.round_trip_s, OWN_FRACTION_MIN * latency_s, LATENCY_MIN_S)
         if self.samples == 0:
             self.peak_s = self.mean_s = own_s
         else:
@@ -98,7 +101,7 @@
             peak_s = self.latency_s(now_s)
             self.peak_s = own_s if own_s > peak_s else peak_s + gain * (own_s - peak_s)
             # The logarithm keeps a single straggler from looking like a slow server.
-            self.mean_s *= (own_s / self.mean_s) ** LOG_GAIN
+            self.mean_s *= (own_s / self.mean_s) ** max(LOG_GAIN, 1.0 / (self.samples + 1))
         self.samples += 1
         self.sampled_s = now_s
 
@@ -269,9 +272,15 @@
         """Return the share, 0 (ejected) to 1, of the load that the server should get."""
         return self._servers[server].share(now_s)
 
-    def median_s(self, service: str) -> float:
-        """Return the median of the mean latencies of a service's servers; 0 while unknown."""
-        return self._services[service].median_s
+    def is_slow(self, server: str) -> bool:
+        """Return whether the mean latency, round trip included, is far above the service's median.
+
+        The mean decides: the peak of a healthy server passes that mark with each straggler.
+        """
+        found = self._servers[server]
+        median_s = self._services[self._service_of[server]].median_s
+        total_s = found.mean_s + found.round_trip_s
+        return found.samples >= SAMPLES_MIN and total_s > SLOW_RATIO * median_s > 0.0
 
     def in_flight(self, server: str) -> int:
         """Return the attempts of this host that the server has not ended."""
@@ -310,10 +319,9 @@
             return
         group.judged_s = now_s
         whole = self._services[self._service_of[server.name]]
-        for siblings in (whole, group):
-            means_s = [s.mean_s for s in siblings.servers if s.samples >= SAMPLES_MIN]
-            if len(means_s) >= SIBLINGS_MIN:
-                siblings.median_s = statistics.median(means_s)
+        whole.median_s = _median_s(whole.servers, with_round_trip=True) or whole.median_s
+        if group is not whole:
+            group.median_s = _median_s(group.servers, with_round_trip=False) or group.median_s
         if group.median_s == 0.0:
             return
         for sibling in group.servers:
@@ -347,3 +355,13 @@
         server.weight = WEIGHT_MIN
         server.samples = 0
         server.failures = 0
+
+
+def _median_s(servers: Iterable[_Server], *, with_round_trip: bool) -> float:
+    """Return the median of the mean latencies, 0 with too few servers."""
+    means_s = [
+        server.mean_s + (server.round_trip_s if with_round_trip else 0.0)
+        for server in servers
+        if server.samples >= SAMPLES_MIN
+    ]
+    return statistics.median(means_s) if len(means_s) >= SIBLINGS_MIN else 0.0
--- a/berylchute/blocks.py
+++ b/berylchute/blocks.py
@@ -5,6 +5,9 @@
 from bisect import bisect_right
 from collections.abc import Iterable, Iterator, Sequence
 
+# Only the text conversions of `socket` are used; `ipaddress` takes longer than a whole look-up may.
+from socket import AF_INET, AF_INET6, inet_pton
+
 import attrs
 
 from berylchute.exceptions import ConfigError
@@ -16,6 +19,7 @@
 V4_BITS = 32
 # Sites are told apart by at most the network half of an IPv6 address.
 V6_BITS = 64
+V4_MAPPED = bytes(10) + b"\xff\xff"
 
 
 @attrs.frozen
@@ -136,13 +140,13 @@
         """Return the table and number of an address; -1 matches no block."""
         try:
             if ":" not in address:
-                return self._v4, int(ipaddress.IPv4Address(address))
-            found = ipaddress.IPv6Address(address)
-        except ipaddress.AddressValueError:
+                return self._v4, int.from_bytes(inet_pton(AF_INET, address), "big")
+            packed = inet_pton(AF_INET6, address.partition("%")[0])
+        except (OSError, ValueError):
             return self._v4, -1
-        if found.ipv4_mapped is not None:
-            return self._v4, int(found.ipv4_mapped)
-        return self._v6, int(found) >> V6_BITS
+        if packed.startswith(V4_MAPPED):
+            return self._v4, int.from_bytes(packed[12:], "big")
+        return self._v6, int.from_bytes(packed[:8], "big")
 
 
 def _parse_block(cidr: str, site: int) -> tuple[_Block, bool]:
--- a/berylchute/routing.py
+++ b/berylchute/routing.py
@@ -47,8 +47,6 @@
 PROBES_MAX = 12
 # Ranks a server that should get less than its share after all others.
 LOW_WEIGHT_COST_S = 1.0
-# A best server slower than this multiple of its siblings' median makes other regions eligible.
-SLOW_RATIO = 2.5
 # After this many failed attempts a request leaves its region, which may be lost as a whole.
 TRIES_PER_REGION = 2
 # Power of two choices.
@@ -148,7 +146,7 @@
         if first.free:
             first.wanted = first.free[0]
             has_tried = len(request.excluded) >= TRIES_PER_REGION
-            if not has_tried and not self._is_slow(first, request.service, now_s):
+            if not has_tried and not self._is_slow(first):
                 return Route(RouteAction.DISPATCH, tuple(first.free), first.wanted)
         others = self._rank_others(usable, preferred, request, now_s, rng)
         if first.free:
@@ -158,13 +156,10 @@
             return _next_route(elsewhere, others)
         return self._leave_full(request, first, others, elsewhere, now_s)
 
-    def _is_slow(self, ranked: _Ranked, service: str, now_s: float) -> bool:
-        """Return whether a better server may be found in another region."""
+    def _is_slow(self, ranked: _Ranked) -> bool:
+        """Return whether a better server may be found farther away."""
         best = ranked.free[0]
-        if best.reason is RankReason.LOW_WEIGHT:
-            return True
-        median_s = self._observer.median_s(service)
-        return 0.0 < SLOW_RATIO * median_s < self._observer.latency_s(best.server, now_s)
+        return best.reason is _LOW_WEIGHT or self._observer.is_slow(best.target.name)
 
     def _rank_others(
         self,
@@ -184,7 +179,7 @@
         for _, _, region in near[: REGIONS_MAX - 1]:
             ranked = self._rank_region(region, request, RankReason.NEXT_REGION, now_s, rng)
             others.append(ranked)
-            if ranked.free and not self._is_slow(ranked, request.service, now_s):
+            if ranked.free and not self._is_slow(ranked):
                 break
         if len(others) > 1:
             others.sort(key=lambda ranked: self._region_cost_s(ranked, request, now_s))
@@ -278,7 +273,7 @@
                 self._search_zone(ranked, zone, request, near_reason, now_s, rng)
         if len(ranked.free) >= CHOICES:
             ranked.free.sort(key=_score)
-            if not self._is_slow(ranked, request.service, now_s):
+            if not self._is_slow(ranked):
                 return ranked
         self._search_far_zones(ranked, request, reason, now_s, rng)
         ranked.free.sort(key=_score)
@@ -368,6 +363,7 @@
 
 
 _distance = operator.itemgetter(0, 1)
+_LOW_WEIGHT = RankReason.LOW_WEIGHT
 _PREFERRED = RankReason.PREFERRED_REGION
 _score = operator.attrgetter("score_s")
 
--- a/berylchute/spillover.py
+++ b/berylchute/spillover.py
@@ -10,6 +10,7 @@
     "FullRegion",
     "FullRegionPolicy",
     "NextRegionFirst",
+    "QuickerFirst",
     "RouteAction",
     "WaitFirst",
 ]
@@ -61,13 +62,26 @@
         return RouteAction.DISPATCH if state.next_region_free else RouteAction.WAIT
 
 
-class DisplaceFirst:
-    """Displace queued lower-plan work in the preferred region before moving on."""
+class QuickerFirst:
+    """Take the quicker of waiting and going to the next region."""
 
     def choose(self, state: FullRegion) -> RouteAction:
-        """Return DISPLACE when lower plans wait, else the quicker of WAIT and DISPATCH."""
-        if state.lower_plans_queued:
-            return RouteAction.DISPLACE
+        """Return DISPATCH when the wait is expected to last longer than the extra delay."""
         if state.next_region_free and state.expected_wait_s > state.extra_delay_s:
             return RouteAction.DISPATCH
         return RouteAction.WAIT
+
+
+class DisplaceFirst:
+    """Displace queued lower-plan work in the preferred region before moving on.
+
+    KEP-582 calls this preference "Preempt Based On Flavor Order".
+    """
+
+    def choose(self, state: FullRegion) -> RouteAction:
+        """Return DISPLACE where QuickerFirst would move and lower plans wait ahead."""
+        if state.expected_wait_s <= state.extra_delay_s:
+            return RouteAction.WAIT
+        if state.lower_plans_queued:
+            return RouteAction.DISPLACE
+        return RouteAction.DISPATCH if state.next_region_free else RouteAction.WAIT
--- /dev/null
+++ b/lab/spillover.py
@@ -0,0 +1,173 @@
+"""Compare the choices for a full preferred region in simulated time on the pure core."""
+
+import functools
+import heapq
+import itertools
+import json
+import random
+import sys
+from collections import Counter, defaultdict
+from collections.abc import Callable
+
+import attrs
+
+from berylchute import spillover
+from berylchute.admission import AdmissionQueue, QueuedRequest, ShortReserve
+from berylchute.balance import ServerObserver
+from berylchute.config import Configuration, Plan, decode_toml
+from berylchute.ledger import Ledger
+from berylchute.routing import Candidate, RouteAction, Router, RouteRequest
+from berylchute.shares import resource_caps
+from lab.decide import EXAMPLES, QuietViews
+
+__all__ = ["POLICIES", "Simulation"]
+
+DURATION_S = 5.0
+WARM_UP_S = 1.0
+SERVICE_MEAN_S = 0.1
+# One request in fifty runs eight times longer, as stragglers do.
+STRAGGLER_SHARE = 0.02
+STRAGGLER_FACTOR = 8.0
+DEADLINE_S = 2.0
+# Load of the regions other than the busy one, as a part of their slots.
+OTHER_LOAD = 0.5
+POLICIES: tuple[type[spillover.FullRegionPolicy], ...] = (
+    spillover.WaitFirst,
+    spillover.NextRegionFirst,
+    spillover.QuickerFirst,
+    spillover.DisplaceFirst,
+)
+
+
+@attrs.define
+class _Entry:
+    """The entry hosts of one region, taken as one."""
+
+    region: str
+    router: Router
+    observer: ServerObserver
+    queue: AdmissionQueue
+
+
+class Simulation:
+    """Run open-loop arrivals in every region through queue, router and ledger."""
+
+    def __init__(self, config: Configuration, policy: spillover.FullRegionPolicy, seed: int):
+        """Build one entry per region; `seed` fixes arrivals and service times."""
+        self.config, self.rng = config, random.Random(seed)
+        self.ledger = Ledger(resource_caps(config))
+        self.service = config.services[0].name
+        self.latencies_s: dict[str, list[float]] = defaultdict(list)
+        self.offered: Counter[str] = Counter()
+        self.started = self.moved = 0
+        self.events: list[tuple[float, int, Callable[[float], None]]] = []
+        self.number = itertools.count()
+        self.delays_s = {
+            frozenset((d.from_region, d.to_region)): d.one_way_ms / 1000 for d in config.distances
+        }
+        self.entries = [self._entry(region.name, policy) for region in config.regions]
+
+    def _entry(self, region: str, policy: spillover.FullRegionPolicy) -> _Entry:
+        zone = next(z.name for z in self.config.availability_zones if z.region == region)
+        observer, views = ServerObserver(zone, region), QuietViews()
+        observer.configure(self.config, 0.0)
+        reserve = ShortReserve()
+        router = Router(zone, region, observer, self.ledger, views, views, views, reserve, policy)
+        router.configure(self.config, {})
+        return _Entry(region, router, observer, AdmissionQueue(self.service))
+
+    def run(self, load: float) -> dict[str, float]:
+        """Offer `load` times the slots of the first region; return the figures."""
+        for entry in self.entries:
+            slots = sum(
+                server.slots
+                for server in self.config.backend_servers
+                if server.service == self.service
+                and self.config.region_of(server.availability_zone) == entry.region
+            )
+            share = load if entry is self.entries[0] else OTHER_LOAD
+            mean_s = SERVICE_MEAN_S * (1 + STRAGGLER_SHARE * (STRAGGLER_FACTOR - 1))
+            at_s = 0.0
+            while (at_s := at_s + self.rng.expovariate(slots * share / mean_s)) < DURATION_S:
+                plan = self.rng.choice(self.config.plans)
+                self._at(
+                    at_s, functools.partial(self._arrive, entry, plan, f"{entry.region}/{at_s}")
+                )
+        while self.events:
+            now_s, _, action = heapq.heappop(self.events)
+            action(now_s)
+        return self._figures()
+
+    def _at(self, at_s: float, action: Callable[[float], None]) -> None:
+        heapq.heappush(self.events, (at_s, next(self.number), action))
+
+    def _arrive(self, entry: _Entry, plan: Plan, name: str, now_s: float) -> None:
+        self.offered[plan.name] += now_s > WARM_UP_S
+        deadline_s = now_s + DEADLINE_S
+        entry.queue.offer(
+            QueuedRequest(name, plan.name, plan.priority, "k", "short", deadline_s, now_s), now_s
+        )
+        self._pump(entry, now_s)
+
+    def _pump(self, entry: _Entry, now_s: float) -> None:
+        entry.queue.drop_expired(now_s)
+        while entry.queue.take(now_s, lambda q, may_move: self._try(entry, q, may_move, now_s)):
+            pass
+
+    def _try(self, entry: _Entry, queued: QueuedRequest, may_move: bool, now_s: float) -> bool:
+        request = RouteRequest(
+            queued.plan, self.service, "short", queued.deadline_s, may_move=may_move,
+            expected_wait_s=entry.queue.expected_wait_s(queued.deadline_s, now_s),
+            lower_plans_queued=entry.queue.count_lower_plans(queued),
+        )  # fmt: skip
+        route = entry.router.route(request, now_s, self.rng)
+        if route.action is RouteAction.DISPLACE:
+            entry.queue.displace(queued.request_id)
+        if not route.candidates:
+            return False
+        chosen = route.candidates[0]
+        hold = self.ledger.try_acquire(chosen.units, now_s + 1e6, now_s)
+        assert hold is not None, "the router offered a candidate without free units"
+        # Drawn per request, so that every policy meets the same work.
+        own = random.Random(queued.request_id)
+        service_s = own.expovariate(1 / SERVICE_MEAN_S)
+        service_s *= STRAGGLER_FACTOR if own.random() < STRAGGLER_SHARE else 1.0
+        delay_s = self.delays_s.get(frozenset((entry.region, chosen.region)), 0.0)
+        entry.observer.record_sent(chosen.server, now_s)
+        self.started += now_s > WARM_UP_S
+        self.moved += now_s > WARM_UP_S and chosen.region != entry.region
+
+        def finish(end_s: float) -> None:
+            self.ledger.release(hold)
+            self._finish(entry, queued, chosen, now_s, end_s)
+
+        self._at(now_s + service_s + 2 * delay_s, finish)
+        return True
+
+    def _finish(
+        self, entry: _Entry, queued: QueuedRequest, used: Candidate, start_s: float, now_s: float
+    ) -> None:
+        entry.queue.record_finish("k", now_s - start_s, now_s)
+        entry.observer.record_answer(used.server, now_s - start_s, now_s)
+        if queued.enqueued_s > WARM_UP_S and now_s <= queued.deadline_s:
+            self.latencies_s[queued.plan].append(now_s - queued.enqueued_s)
+        for waiting in self.entries:
+            self._pump(waiting, now_s)
+
+    def _figures(self) -> dict[str, float]:
+        figures = {"moved": round(self.moved / self.started, 3)}
+        for plan in self.config.plans:
+            ordered = sorted(self.latencies_s[plan.name])
+            figures[f"{plan.name}_answered"] = round(len(ordered) / self.offered[plan.name], 4)
+            figures[f"{plan.name}_mean_ms"] = round(1e3 * sum(ordered) / len(ordered), 1)
+            figures[f"{plan.name}_p99_ms"] = round(1e3 * ordered[len(ordered) * 99 // 100], 1)
+        return figures
+
+
+if __name__ == "__main__":
+    seed_argument = int(sys.argv[1]) if len(sys.argv) > 1 else 1
+    document = decode_toml((EXAMPLES / "cooperativa" / "lists.toml").read_text(encoding="utf-8"))
+    for offered_load in (0.9, 1.3, 1.7):
+        for policy_type in POLICIES:
+            result = Simulation(document, policy_type(), seed_argument).run(offered_load)
+            print(json.dumps({"policy": policy_type.__name__, "load": offered_load} | result))
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,163 @@
+"""Check the admission queue and the reserve for short work."""
+
+import math
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from berylchute import admission
+from berylchute.admission import AdmissionQueue, QueuedRequest, RefusalReason, ShortReserve
+
+deadlines_s = st.floats(1.0, 100.0)
+offers = st.lists(st.tuples(deadlines_s, st.integers(1, 3)), max_size=60)
+
+
+def make_request(
+    number: int, deadline_s: float, priority: int = 1, kind: str = "k"
+) -> QueuedRequest:
+    return QueuedRequest(f"{number}", f"p{priority}", priority, kind, "short", deadline_s, 0.0)
+
+
+def fill(queue: AdmissionQueue, items: list[tuple[float, int]]) -> list[QueuedRequest]:
+    """Offer requests at time 0 and return those refused."""
+    refused: list[QueuedRequest] = []
+    for number, (deadline_s, priority) in enumerate(items):
+        request = make_request(number, deadline_s, priority)
+        refused += [refusal.request for refusal in queue.offer(request, 0.0)]
+    return refused
+
+
+def take_all(queue: AdmissionQueue) -> list[QueuedRequest]:
+    taken: list[QueuedRequest] = []
+    while (request := queue.take(0.0, lambda request, may_move: True)) is not None:
+        taken.append(request)
+    return taken
+
+
+@given(offers)
+def test_starts_in_order_of_deadline(items: list[tuple[float, int]]) -> None:
+    """Guards against a request that misses its deadline behind one with more time."""
+    queue = AdmissionQueue("s")
+    fill(queue, items)
+    started = [request.deadline_s for request in take_all(queue)]
+    assert started == sorted(deadline_s for deadline_s, _ in items)
+
+
+@given(offers, st.integers(1, 10))
+def test_full_queue_refuses_lowest_plans(items: list[tuple[float, int]], limit: int) -> None:
+    """Guards against an unbounded queue, a lost request and a refused higher plan."""
+    queue = AdmissionQueue("s", length_max=limit)
+    refused = fill(queue, items)
+    kept = take_all(queue)
+    assert len(kept) == min(limit, len(items))
+    assert len(kept) + len(refused) == len(items)
+    if refused and kept:
+        lowest_kept = min(request.plan_priority for request in kept)
+        assert max(request.plan_priority for request in refused) <= lowest_kept
+
+
+@given(offers, st.floats(0.0, 120.0))
+def test_expired_requests_never_start(items: list[tuple[float, int]], now_s: float) -> None:
+    """Guards against work for a caller that has already gone."""
+    queue = AdmissionQueue("s")
+    fill(queue, items)
+    dropped = queue.drop_expired(now_s)
+    assert all(refusal.reason is RefusalReason.EXPIRED for refusal in dropped)
+    assert all(refusal.request.deadline_s <= now_s for refusal in dropped)
+    assert all(request.deadline_s > now_s for request in take_all(queue))
+
+
+@given(offers)
+def test_displaced_request_keeps_waiting_and_may_move(items: list[tuple[float, int]]) -> None:
+    """Guards against a displaced request that is lost or displaced twice."""
+    queue = AdmissionQueue("s")
+    fill(queue, items)
+    queue.offer(make_request(1000, 50.0, priority=9), 0.0)
+    waiting = len(queue)
+    displaced: list[QueuedRequest] = []
+    while (request := queue.displace("1000")) is not None:
+        displaced.append(request)
+    movable: list[str] = []
+
+    def try_start(request: QueuedRequest, may_move: bool) -> bool:
+        movable.extend([request.request_id] if may_move else [])
+        return False
+
+    assert queue.take(0.0, try_start) is None
+    assert len(queue) == waiting
+    assert len({request.request_id for request in displaced}) == len(displaced)
+    assert set(movable) == {request.request_id for request in displaced}
+
+
+def test_displacing_starts_the_displaced_in_the_same_pass() -> None:
+    """Guards against a displaced request that waits although the next region is free."""
+    queue = AdmissionQueue("s")
+    queue.offer(make_request(1, 10.0, priority=1), 0.0)
+    queue.offer(make_request(2, 20.0, priority=2), 0.0)
+
+    def try_start(request: QueuedRequest, may_move: bool) -> bool:
+        if request.request_id == "2":
+            queue.displace("2")
+        return may_move
+
+    taken = queue.take(0.0, try_start)
+    assert taken is not None
+    assert taken.request_id == "1"
+
+
+def test_blocked_kind_does_not_block_others() -> None:
+    """Guards against head-of-line blocking, and against a decision per waiting request."""
+    queue = AdmissionQueue("s")
+    for number in range(50):
+        queue.offer(make_request(number, 10.0, kind="long"), 0.0)
+    queue.take(0.0, lambda request, may_move: False)
+    queue.offer(make_request(99, 20.0, kind="short"), 0.0)
+    tried: list[str] = []
+
+    def try_start(request: QueuedRequest, may_move: bool) -> bool:
+        tried.append(request.kind)
+        return request.kind == "short"
+
+    assert queue.take(0.0, try_start) is not None
+    assert tried == ["long", "short"]
+
+
+def test_overload_refuses_lowest_plan_early() -> None:
+    """Guards against queues in which every request is answered too late."""
+    queue = AdmissionQueue("s")
+    refused: list[QueuedRequest] = []
+    for number in range(400):
+        now_s = number * 0.05
+        request = make_request(number, now_s + 1.0, priority=2 if number % 4 == 0 else 1)
+        refusals = queue.offer(request, now_s)
+        refused += [refusal.request for refusal in refusals]
+        if number % 2:
+            queue.take(now_s, lambda request, may_move: True)
+            queue.record_finish("k", 0.1, now_s)
+    assert len(queue) < 25
+    assert len(refused) > 100
+    assert {request.plan_priority for request in refused} == {1}
+
+
+def test_refusing_all_ends_by_itself() -> None:
+    """Guards against an estimate that refuses all work and so never gets a new sample."""
+    queue = AdmissionQueue("s")
+    queue.record_finish("k", 60.0, 0.0)
+    assert queue.offer(make_request(1, 1.0), 0.0)
+    assert not queue.offer(make_request(2, 31.0), 30.0)
+
+
+@given(st.integers(0, 200), st.lists(st.booleans(), max_size=300))
+def test_long_kinds_leave_the_reserve(total: int, starts: list[bool]) -> None:
+    """Guards against long uploads that take the last units from short look-ups."""
+    reserve, used = ShortReserve(), 0
+    for is_long in starts:
+        free = total - used
+        if reserve.allows("long" if is_long else "short", "region:r", free):
+            reserve.record_start("region:r")
+            used += 1
+            if is_long and total > 1:
+                left = math.ceil(total * admission.SHORT_RESERVE_FRACTION)
+                assert total - used >= left
+        else:
+            assert is_long or free == 0
