--- a/lab/measure.py
+++ b/lab/measure.py
@@ -11,6 +11,8 @@
 from pathlib import Path
 
 from lab.scenario import Options, Report, Scenario
+from lab.scenarios.capacity import lending, shift
+from lab.scenarios.control import config, store_outage
 from lab.scenarios.overhead import overhead
 from lab.scenarios.overload import overload
 from lab.scenarios.stops import drain, host_loss, region_loss
@@ -27,6 +29,10 @@
     "drain": drain,
     "host_loss": host_loss,
     "region_loss": region_loss,
+    "config": config,
+    "store_outage": store_outage,
+    "lending": lending,
+    "shift": shift,
 }
 LOCK_FILE = Path(tempfile.gettempdir()) / "berylchute-lab.lock"
 
--- /dev/null
+++ b/lab/scenarios/capacity.py
@@ -0,0 +1,185 @@
+"""Measure how unused share reaches one busy host, and that a shift keeps to its caps."""
+
+import time
+from collections import Counter
+from typing import Any
+
+import attrs
+import msgspec
+
+from berylchute.config import Configuration
+from berylchute.shares import base_shares
+from lab.caller import CallerSpec
+from lab.launcher import Deployment
+from lab.load import LoadResult
+from lab.processes import call, call_json
+from lab.scenario import (
+    Figures,
+    Options,
+    Report,
+    at_least,
+    at_most,
+    call_figures,
+    cap_figures,
+    latency_figures,
+    ratio,
+    start_deployment,
+)
+from lab.workload import caller_spec, run_load
+
+__all__ = ["lending", "shift"]
+
+LENDING_RUN_S = 8.0
+LENDING_SERVICE_MS = 1500.0
+DEMAND_OVER_CAPACITY = 1.25
+REACH_AT_S = 1.0
+SAMPLE_S = 0.05
+
+SHIFT_RUN_S = 36.0
+SHIFT_AT_S = 8.0
+SHIFT_UPLOADS_PER_S = 3.0
+SHIFT_UPLOAD_BYTES = 2_000_000
+# Two thirds of the uploads of the first region fill the link, so that a shift of all must hold.
+SHIFT_LINK_BYTES_PER_S = 4_000_000
+COLD_FACTOR = 3.0
+COLD_S = 10.0
+
+
+def _offered(deployment: Deployment, service: str) -> int:
+    return sum(row["offered"] for row in deployment.server_stats() if row["service"] == service)
+
+
+def lending(options: Options) -> Report:
+    """Send demand for the whole capacity of one service to one host of many idle ones."""
+    workload = options.workload
+    service = workload.lookup_service
+    lists = options.lists()
+    slots = sum(item.slots for item in lists.backend_servers if item.service == service)
+    profiles = workload.profiles(lookup_ms=LENDING_SERVICE_MS)
+    kind = workload.lookup(concurrency=int(slots * DEMAND_OVER_CAPACITY), deadline_ms=5000)
+    samples: list[tuple[float, int]] = []
+    with start_deployment(lists, profiles, options) as deployment:
+        position = lists.host_positions[0].name
+        caller = CallerSpec(fixed_urls=(deployment.host_urls[position],))
+        load = run_load(deployment, "busy", [kind], LENDING_RUN_S, caller=caller, seed=options.seed)
+        time.sleep(max(0.0, load.start_s - time.monotonic()))
+        while (at_s := time.monotonic() - load.start_s) < LENDING_RUN_S:
+            samples.append((at_s, _offered(deployment, service)))
+            time.sleep(SAMPLE_S)
+        result = load.wait()
+        figures = latency_figures("busy", result) | cap_figures(deployment)
+        figures |= call_figures(deployment, result)
+    shares = base_shares(lists)[position]
+    own = sum(
+        shares.get(f"server:{item.name}", 0)
+        for item in lists.backend_servers
+        if item.service == service
+    )
+    figures |= _reach_figures(samples, slots)
+    targets = (
+        at_least("reach", figures["reach"], 0.9),
+        at_most("over_cap", figures["over_cap"], 0.0),
+    )
+    # Fixed shares let the host use its own part only, however idle the others are.
+    baseline: Figures = {"base_share_units": own, "reach": ratio(own, slots)}
+    return Report("lending", options.deployment, options.seed, figures, baseline, targets)
+
+
+def _reach_figures(samples: list[tuple[float, int]], slots: int) -> Figures:
+    def peak_until(limit_s: float) -> float:
+        return ratio(max((count for at_s, count in samples if at_s <= limit_s), default=0), slots)
+
+    reached = [at_s for at_s, count in samples if count >= 0.9 * slots]
+    return {
+        "slots": slots,
+        "reach": peak_until(REACH_AT_S),
+        "reach_at_2_s": peak_until(2.0),
+        "reach_at_end": peak_until(LENDING_RUN_S),
+        "reached_90_percent_at_s": round(reached[0], 2) if reached else -1.0,
+    }
+
+
+def _narrow_links(lists: Configuration) -> Configuration:
+    links = tuple(
+        attrs.evolve(item, rate_bytes_per_s=SHIFT_LINK_BYTES_PER_S) for item in lists.links
+    )
+    return attrs.evolve(lists, links=links)
+
+
+def _declare_shift(deployment: Deployment, service: str) -> None:
+    origin, target = (item.name for item in deployment.lists.regions[:2])
+    value = [
+        {
+            "id": "lab-shift",
+            "service": service,
+            "from_region": origin,
+            "to_region": target,
+            "target_percent": 100,
+            "step_percent": 20,
+            "state": "running",
+            "current_percent": 0,
+            "reason": "",
+            "runner": "",
+        }
+    ]
+    url = f"{deployment.store_url}/objects/shifts"
+    answer = call("PUT", url, msgspec.json.encode(value), {"If-None-Match": "*"})
+    if answer.status != 200:
+        raise RuntimeError(f"store refused the shift with {answer.status}")
+
+
+def _link_peak(rows: list[list[Any]]) -> tuple[float, float]:
+    """Return the peak second and the whole of the busiest link, over its rate and in bytes."""
+    seconds: Counter[tuple[int, str, str]] = Counter()
+    totals: Counter[tuple[str, str]] = Counter()
+    for second, origin, end, size in rows:
+        seconds[second, origin, end] += size
+        totals[origin, end] += size
+    peak = max(seconds.values(), default=0)
+    return round(peak / SHIFT_LINK_BYTES_PER_S, 4), max(totals.values(), default=0)
+
+
+def _shift_figures(deployment: Deployment, result: LoadResult) -> Figures:
+    before = attrs.evolve(
+        result, records=tuple(r for r in result.records if r.arrival_s < SHIFT_AT_S)
+    )
+    during = result.of(after_s=SHIFT_AT_S)
+    figures = latency_figures("all", result) | cap_figures(deployment)
+    figures |= call_figures(deployment, result)
+    figures["link_peak"], figures["link_busiest_bytes"] = _link_peak(deployment.link_bytes())
+    for kind in ("lookup", "upload"):
+        figures[f"{kind}_p99_before_ms"] = before.of([kind]).percentile_ms(99)
+        figures[f"{kind}_p99_during_ms"] = during.of([kind]).percentile_ms(99)
+    rows = call_json("GET", f"{deployment.store_url}/objects/shifts")
+    figures["shift_percent_at_end"] = rows[0]["current_percent"]
+    return figures
+
+
+def shift(options: Options) -> Report:
+    """Shift all uploads of one region to another whose caches are cold, over narrow links."""
+    workload = options.workload
+    lists = _narrow_links(options.lists())
+    origin, target = (item.name for item in lists.regions[:2])
+    zones = [item.name for item in lists.availability_zones if item.region == origin]
+    with start_deployment(lists, workload.profiles(), options) as deployment:
+        kinds = [
+            workload.lookup(120.0),
+            workload.upload(SHIFT_UPLOADS_PER_S, SHIFT_UPLOAD_BYTES),
+        ]
+        caller = caller_spec(deployment, zones)
+        load = run_load(deployment, "shift", kinds, SHIFT_RUN_S, caller=caller, seed=options.seed)
+        time.sleep(max(0.0, load.start_s + SHIFT_AT_S - time.monotonic()))
+        cold = [
+            item.name
+            for item in lists.backend_servers
+            if lists.region_of(item.availability_zone) == target
+        ]
+        deployment.set_servers(cold, cold_factor=COLD_FACTOR, cold_s=COLD_S)
+        _declare_shift(deployment, workload.upload_service)
+        result = load.wait()
+        figures = _shift_figures(deployment, result)
+    targets = (
+        at_most("link_peak", figures["link_peak"], 1.0),
+        at_most("region_peak", figures["region_peak"], 1.0),
+    )
+    return Report("shift", options.deployment, options.seed, figures, {}, targets)
