Charge requests and answers to the links that they cross

Cause: the entry program routed by link budgets but sent bytes without taking any, so that a shift or a burst of uploads could exceed a link's cap.

Change: `transfers` waits for the budget of the request and of the expected answer before an attempt is sent, paces streamed chunks in both directions, and charges what an answer exceeded. `entry` wires the pacer in place of the stand-in without limits.

--- a/berylchute/dispatch.py
+++ b/berylchute/dispatch.py
@@ -291,7 +291,8 @@
             service=service,
             size=work.kind.size,
             until_s=work.deadline_s,
-            request_bytes=len(work.body) if isinstance(work.body, bytes) else 0,
+            request_bytes=work.body_bytes,
+            answer_bytes=work.answer_bytes,
             expected_wait_s=queue.expected_wait_s(work.deadline_s, now_s) if is_waiting else 0.0,
             lower_plans_queued=queue.count_lower_plans(queued) if queued is not None else 0,
             may_move=may_move,
@@ -331,7 +332,16 @@
             self._reserve.record_start(item.resource)
         self._observer.record_sent(candidate.server, now_s)
         target = self._targets[candidate.server]
-        return HeldPlacement(target, now_s, candidate, hold, work.kind.service, work.kind.name)
+        return HeldPlacement(
+            target,
+            now_s,
+            candidate,
+            hold,
+            work.kind.service,
+            work.kind.name,
+            link_out=candidate.link_out,
+            link_back=candidate.link_back,
+        )
 
     def _give_back(self, placement: HeldPlacement) -> None:
         if placement.ended:
--- a/berylchute/entry.py
+++ b/berylchute/entry.py
@@ -34,11 +34,13 @@
 from berylchute.metrics import Metrics
 from berylchute.node import ConfigurationInForce, MonotonicClock, Node
 from berylchute.ownership import Ownership
+from berylchute.pacing import LinkPacer, LinkWaiter
 from berylchute.routing import NextRegionFirst, Router
 from berylchute.settings import Settings, load
 from berylchute.shares import base_shares, connection_shares
 from berylchute.tracing import RecentRequests, Tracer, TraceSink
 from berylchute.traffic import Traffic, headroom
+from berylchute.transfers import Transfers
 from berylchute.types import MemberState, StoredObject
 
 __all__ = ["Entry", "main"]
@@ -55,14 +57,6 @@
 logger = logging.getLogger(__name__)
 
 
-class _NoLinkLimits:
-    """Answer that no link delays bytes."""
-
-    def wait_s(self, link: str, size_bytes: int, now_s: float) -> float:
-        """Return zero."""
-        return 0.0
-
-
 class Entry:
     """Wire the parts of the entry program and run its tasks."""
 
@@ -75,6 +69,7 @@
         self._is_stopping = False
         self._background = Background()
         self._ledger = Ledger()
+        self._pacer = LinkPacer(self._ledger, {})
         self._observer = ServerObserver(record.availability_zone, record.region)
         self._traffic = Traffic(self._node, self._ledger, self._observer)
         self._shares: Mapping[str, Mapping[str, int]] = {}
@@ -103,7 +98,7 @@
             self._ledger,
             self._traffic.drains,
             self._traffic.shifts,
-            _NoLinkLimits(),
+            self._pacer,
             reserve,
             NextRegionFirst(),
         )
@@ -122,6 +117,7 @@
             self._background,
             ExtraLoadBudget(),
             HedgeDelays(),
+            Transfers(LinkWaiter(self._pacer, self._clock), self._background),
         )
         ownership = Ownership(
             self._clock,
@@ -197,6 +193,7 @@
         configuration, position = in_force.configuration, self._settings.host.position
         self._shares = base_shares(configuration)
         own = self._shares.get(position, {})
+        self._pacer.set_shares(own)
         self._lending.set_peers(self._lenders(configuration))
         self._placer.configure(
             configuration, own, connection_shares(configuration).get(position, {})
--- a/berylchute/exchange.py
+++ b/berylchute/exchange.py
@@ -1,8 +1,8 @@
 """Run one HTTP exchange with a backend server and match the answer to its request."""
 
-from collections.abc import AsyncGenerator, AsyncIterable, Sequence
+from collections.abc import AsyncGenerator, AsyncIterable, AsyncIterator, Sequence
 from enum import StrEnum
-from typing import Any, ClassVar, TypeAlias
+from typing import Any, ClassVar, Protocol, TypeAlias
 
 import anyio
 import attrs
@@ -18,6 +18,7 @@
     "AnswerForeign",
     "AnswerMatcher",
     "AnswerShort",
+    "AnswerStream",
     "AnswerUnframed",
     "Attempt",
     "ConnectFailed",
@@ -147,6 +148,18 @@
     scheme: bytes = b"http"
 
 
+class AnswerStream(Protocol):
+    """The rest of an answer; closing it early closes the connection."""
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        """Iterate over the chunks; raise ExchangeError when the answer is cut."""
+        ...
+
+    async def aclose(self) -> None:
+        """Read no more."""
+        ...
+
+
 @attrs.define(eq=False)
 class Answer:
     """A matched answer; `body` is whole unless `rest` streams what follows it."""
@@ -155,7 +168,7 @@
     headers: Headers
     body: bytes
     not_run: bool = False
-    rest: AsyncGenerator[bytes, None] | None = None
+    rest: AnswerStream | None = None
     length: int | None = None
     attempt: "Attempt | None" = None
     placement: object = None
--- a/berylchute/forwarding.py
+++ b/berylchute/forwarding.py
@@ -13,6 +13,7 @@
 from berylchute.intake import CallerGone
 from berylchute.metrics import Metrics
 from berylchute.refusals import RefusalCode, RefusedError
+from berylchute.transfers import Transfers
 from berylchute.types import AttemptState, Clock
 from berylchute.work import AttemptEnd, Exchanger, Placement, Placer, Work, exchange_headers
 
@@ -45,6 +46,7 @@
         background: Background,
         budget: ExtraLoadBudget,
         delays: HedgeDelays,
+        transfers: Transfers,
     ) -> None:
         self._clock = clock
         self._placer = placer
@@ -53,11 +55,13 @@
         self._background = background
         self._budget = budget
         self._delays = delays
+        self._transfers = transfers
 
     async def answer(self, work: Work) -> Answer:
         """Return the answer; raise RefusedError with a truthful `not_run`."""
         answer: Answer | None = None
         self._budget.record_first_attempt()
+        work.answer_bytes = self._transfers.expected_answer_bytes(work.kind.name)
         with anyio.CancelScope(deadline=work.deadline_s) as work.scope:
             answer = await self._attempts(work)
         if answer is not None:
@@ -207,12 +211,19 @@
 
     async def _exchange(self, work: Work, placement: Placement, attempt: Attempt) -> Answer:
         try:
+            await self._transfers.reserve(work, placement)
             if work.guard is not None:
                 work.guard.before_send()
             headers = exchange_headers(work, placement.target, attempt, self._clock.now_s())
             answer = await self._exchanger.run(
-                placement.target, attempt, work.method, work.target, headers, work.body
+                placement.target,
+                attempt,
+                work.method,
+                work.target,
+                headers,
+                self._transfers.body(work, placement),
             )
+            self._transfers.take_answer(work, placement, answer)
         except BaseException as error:
             if attempt.state is AttemptState.NOT_SENT:
                 if work.guard is not None:
--- a/berylchute/gateway.py
+++ b/berylchute/gateway.py
@@ -206,8 +206,9 @@
             body,
             deadline_s,
             own_id,
+            len(body) if isinstance(body, bytes) else intake.content_length or 0,
             # Non-idempotent work goes on without its caller, whose repeat then finds the answer.
-            receive if kind.idempotent else None,
+            receive=receive if kind.idempotent else None,
         )
 
     def _forwarded_headers(
--- a/berylchute/work.py
+++ b/berylchute/work.py
@@ -62,6 +62,8 @@
     body: bytes | BodyStream
     deadline_s: float
     attempt_prefix: str
+    body_bytes: int = 0
+    answer_bytes: int = 0
     receive: Receive | None = None
     guard: "RunGuard | None" = None
     scope: anyio.CancelScope | None = None
@@ -79,6 +81,8 @@
 
     target: ServerTarget
     started_s: float
+    link_out: str = attrs.field(default="", kw_only=True)
+    link_back: str = attrs.field(default="", kw_only=True)
 
 
 class AttemptEnd(StrEnum):
--- a/tests/backends.py
+++ b/tests/backends.py
@@ -121,6 +121,8 @@
         self.ends: list[tuple[str, AttemptEnd, bool]] = []
         self.confirmed: list[str] = []
         self.has_free_slot = True
+        self.link_out = ""
+        self.link_back = ""
 
     async def place(self, work: Work, excluded: frozenset[str]) -> Placement:
         placement = self._next(excluded)
@@ -140,10 +142,22 @@
     def _next(self, excluded: frozenset[str]) -> Placement | None:
         for number in range(1, self.servers + 1):
             if str(number) not in excluded:
-                return Placement(ServerTarget(str(number), b"127.0.0.1", number, 10), 0.0)
+                target = ServerTarget(str(number), b"127.0.0.1", number, 10)
+                return Placement(target, 0.0, link_out=self.link_out, link_back=self.link_back)
         return None
 
 
+class NoLimits:
+    """Record the bytes charged to each link and never wait."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, int]] = []
+
+    async def send(self, link: str, size_bytes: int, is_long: bool) -> float:
+        self.sent.append((link, size_bytes))
+        return 0.0
+
+
 def make_kind(*, idempotent: bool = True, may_hedge: bool = False) -> Kind:
     """Return a kind of a service named s."""
     return Kind(
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -12,12 +12,14 @@
 from berylchute.metrics import Metrics
 from berylchute.node import MonotonicClock
 from berylchute.refusals import Refusal, RefusalCode, RefusedError
+from berylchute.transfers import Transfers
 from berylchute.work import AttemptEnd, Work
 from tests.backends import (
     CLOSE,
     Call,
     FakePlacer,
     FakeServers,
+    NoLimits,
     Script,
     answer,
     make_kind,
@@ -70,6 +72,7 @@
         self.delays = HedgeDelays()
         self.budget = ExtraLoadBudget()
         self.background = Background()
+        self.links = NoLimits()
         self.exchanger = self.servers.exchanger(CLOCK)
         self.forwarder = Forwarder(
             CLOCK,
@@ -79,6 +82,7 @@
             self.background,
             self.budget,
             self.delays,
+            Transfers(self.links, self.background),
         )
 
     def run(self, test: Callable[[], Awaitable[None]]) -> None:
@@ -325,3 +329,35 @@
         assert found.body == b"id.2"
 
     lab.run(test)
+
+
+def test_bytes_in_both_directions_are_charged_to_links() -> None:
+    """Guard against uploads or answers that cross a link outside its budget."""
+    lab = Lab(_long_answer)
+    lab.placer.link_out, lab.placer.link_back = "out", "back"
+
+    async def test() -> None:
+        found = await lab.forwarder.answer(make_work(IDEMPOTENT, _soon(), _Upload()))
+        assert found.rest is not None
+        size = len(found.body) + sum([len(chunk) async for chunk in found.rest])
+        await lab.forwarder.close(found, is_complete=True)
+        await anyio.wait_all_tasks_blocked()
+        charged = {"out": 0, "back": 0}
+        for link, count in lab.links.sent:
+            charged[link] += count
+        assert charged["out"] >= len(b"part")
+        assert charged["back"] >= size
+
+    lab.run(test)
+
+
+def test_requests_within_the_region_are_not_charged() -> None:
+    """Guard against link budgets that slow down local work."""
+    lab = Lab(_long_answer)
+
+    async def test() -> None:
+        found = await lab.forwarder.answer(make_work(IDEMPOTENT, _soon(), _Upload()))
+        await lab.forwarder.close(found, is_complete=False)
+        assert lab.links.sent == []
+
+    lab.run(test)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -21,8 +21,9 @@
 from berylchute.ownership import Ownership
 from berylchute.settings import LimitSettings
 from berylchute.tracing import RecentRequests, Tracer
+from berylchute.transfers import Transfers
 from berylchute.types import AttemptState
-from tests.backends import FakePlacer, make_kind
+from tests.backends import FakePlacer, NoLimits, make_kind
 from tests.test_ownership import FakeMembers
 
 CLOCK = MonotonicClock()
@@ -104,6 +105,7 @@
             self.background,
             ExtraLoadBudget(),
             HedgeDelays(),
+            Transfers(NoLimits(), self.background),
         )
         table = IdempotencyTable("p", 5, CLOCK.now_s())
         ownership = Ownership(CLOCK, table, forwarder, self.servers, FakeMembers(), Metrics(), "p")
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -17,9 +17,10 @@
 from berylchute.node import MonotonicClock
 from berylchute.ownership import Ownership
 from berylchute.refusals import Refusal, RefusalCode, RefusedError
+from berylchute.transfers import Transfers
 from berylchute.types import AttemptState, MemberState, MemberStatus
 from berylchute.work import Work
-from tests.backends import FakePlacer, make_kind, make_work
+from tests.backends import FakePlacer, NoLimits, make_kind, make_work
 
 CLOCK = MonotonicClock()
 ONCE = make_kind(idempotent=False)
@@ -108,6 +109,7 @@
             self.background,
             ExtraLoadBudget(),
             HedgeDelays(),
+            Transfers(NoLimits(), self.background),
         )
         self.ownership = Ownership(
             CLOCK,
