--- a/berylchute/routing.py
+++ b/berylchute/routing.py
@@ -318,35 +318,31 @@
     ) -> None:
         """Add up to two servers with a free slot; remember one without for `wanted`."""
         free_units = self._headroom.free_units
-        is_draining = self._drains.is_draining
         excluded, until_s = request.excluded, request.until_s
-        is_short = request.size == "short"
-        choices = CHOICES
+        has_room, has_wanted = ranked.free_units > 0, ranked.wanted is not None
+        enough = len(ranked.free) + CHOICES
         for servers in zone.groups:
-            count = len(servers)
-            index = int(rng.random() * count)
-            for server in servers[index:] + servers[:index] if index else servers:
-                if not ranked.probes or not choices:
-                    return
-                if server.name in excluded:
-                    continue
+            index = int(rng.random() * len(servers))
+            rotated = servers[index:] + servers[:index]
+            for server in rotated[: ranked.probes]:
                 ranked.probes -= 1
-                resource = server.units.resource
-                slots = free_units(resource, until_s, now_s) if ranked.free_units else 0
-                if slots < 1 and ranked.wanted is not None:
+                slots = free_units(server.resource, until_s, now_s) if has_room else 0
+                if (slots < 1 and has_wanted) or server.name in excluded:
                     continue
-                if is_draining("server", server.name):
+                if self._drains.is_draining("server", server.name):
                     continue
-                if slots < 1 or not (is_short or self._reserve.allows("long", resource, slots)):
-                    if ranked.wanted is None:
-                        ranked.wanted = self._score_server(
-                            ranked.region, zone, server, reason, now_s, rng
-                        )
-                    continue
-                choices -= 1
-                ranked.free.append(
-                    self._score_server(ranked.region, zone, server, reason, now_s, rng)
+                is_free = slots > 0 and (
+                    request.size == "short" or self._reserve.allows("long", server.resource, slots)
                 )
+                if not is_free and has_wanted:
+                    continue
+                candidate = self._score_server(ranked.region, zone, server, reason, now_s, rng)
+                if is_free:
+                    ranked.free.append(candidate)
+                    if len(ranked.free) >= enough:
+                        return
+                else:
+                    ranked.wanted, has_wanted = candidate, True
 
     def _score_server(
         self,
--- a/berylchute/topology.py
+++ b/berylchute/topology.py
@@ -21,6 +21,7 @@
     address: str
     availability_zone: str
     region: str
+    resource: ResourceId
     units: ResourceUnits
     region_units: ResourceUnits
     link_out: ResourceId
@@ -57,6 +58,7 @@
         address=server.address,
         availability_zone=server.availability_zone,
         region=region,
+        resource=f"server:{server.name}",
         units=ResourceUnits(f"server:{server.name}", 1),
         region_units=ResourceUnits(f"region:{region}", 1),
         link_out="" if is_home else f"link:{host_region}:{region}",
--- a/lab/decide.py
+++ b/lab/decide.py
@@ -82,7 +82,7 @@
         backend_servers=tuple(servers),
         host_positions=(HostPosition("h0", "z0"),),
         distances=tuple(
-            Distance(f"r{a}", f"r{b}", 5.0 + (b - a)) for a in range(REGIONS) for b in range(a)
+            Distance(f"r{a}", f"r{b}", 5.0 + (a - b)) for a in range(REGIONS) for b in range(a)
         ),
     )
 
