Add the slopes measurement of membership and objects

The cost of a node as zones are added was not measured. lab.slopes drives the pure code of whole fleets on a virtual clock at four sizes with today's 2 hosts a zone and three sizes with 48 hosts a zone, and fits lines.

--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -9,7 +9,7 @@
 
 from berylchute import messages
 from berylchute.membership import Membership, Outgoing
-from berylchute.messages import MemberRecord, Message
+from berylchute.messages import MemberRecord, MemberUpdate, Message
 from berylchute.objects import ObjectReplica
 from berylchute.replication import Replication
 from berylchute.types import MemberState, StoredObject
@@ -118,6 +118,20 @@
         self._push(self.now_s + self.rng.uniform(0.0, 0.05), host_id, None)
         return host
 
+    def introduce(self) -> None:
+        """Make all hosts known to each other, as they are long after the start."""
+        records = tuple(host.replication.membership.record for host in self.hosts.values())
+        zones = {record.availability_zone for record in records}
+        update = MemberUpdate(
+            sender="",
+            records=records,
+            ages_ms=(0,) * len(records),
+            zone_beats=dict.fromkeys(zones, 1),
+            zone_ages_ms=dict.fromkeys(zones, 0),
+        )
+        for host in self.hosts.values():
+            host.replication.handle(update, self.now_s)
+
     def stop(self, host_id: str) -> None:
         """Kill a process without notice."""
         self.hosts[host_id].is_up = False
@@ -167,8 +181,8 @@
             host.received_messages += 1
             host.received_bytes += sum(map(len, event.frames))
             out = host.replication.handle(messages.decode(event.frames), self.now_s)
-        self._send(host, out)
         host.cpu_s += time.process_time() - started_s
+        self._send(host, out)
         if event.frames is None:
             due_s = host.replication.membership.next_due_s
             self._push(max(due_s, self.now_s + 0.001), event.address, None)
@@ -178,7 +192,9 @@
         frames: list[bytes] = []
         for outgoing in out:
             if outgoing.message is not last:
+                started_s = time.process_time()
                 last, frames = outgoing.message, messages.encode(outgoing.message)
+                host.cpu_s += time.process_time() - started_s
             host.sent_messages += 1
             host.sent_bytes += sum(map(len, frames))
             self._transmit(host, outgoing.address, frames)
--- /dev/null
+++ b/lab/slopes.py
@@ -0,0 +1,192 @@
+"""Measure what membership and objects cost a node at several fleet sizes.
+
+The pure code of all hosts runs on a virtual clock; messages are encoded and decoded as on the
+wire. Sockets and the interpreter are not part of these figures.
+"""
+
+import argparse
+import statistics
+import tracemalloc
+from collections.abc import Sequence
+from random import Random
+
+import attrs
+
+from berylchute import messages
+from berylchute.config import encode_json
+from berylchute.membership import Membership
+from berylchute.messages import MemberUpdate
+from lab.fleet import VirtualFleet, VirtualHost, record_of
+from lab.launcher import read_lists
+from lab.scenario import Figures, Report, Target, at_most
+
+__all__ = ["main", "run"]
+
+WARM_UP_S = 5.0
+MEASURED_S = 10.0
+LOAD_PERIOD_S = 1.0
+ZONES_PER_REGION = 4
+# Today's zones have 2 hosts; the target fleet of 7,900 nodes has about 48 in each of 163 zones.
+HOSTS_TODAY, ZONES_TODAY = 2, (6, 12, 24, 48)
+HOSTS_TARGET, ZONES_TARGET = 48, (3, 6, 12)
+MEMORY_SIZES = (1000, 4000, 7900)
+TARGET_ZONES = 163
+
+
+@attrs.frozen
+class _Cost:
+    """Per node and second, mean over all nodes, and the most of any node."""
+
+    cpu_s: float
+    sent_bytes: float
+    received_bytes: float
+    sent_messages: float
+    sent_bytes_max: float
+    cpu_s_max: float
+    config_s: float
+
+
+def _start(zones: int, hosts: int, seed: int) -> VirtualFleet:
+    fleet = VirtualFleet(seed)
+    names = [f"i-{zone:03}-{host:03}" for zone in range(zones) for host in range(hosts)]
+    for name in names:
+        zone = int(name[2:5])
+        fleet.start(name, f"zone-{zone:03}", f"region-{zone // ZONES_PER_REGION}", names[:2])
+    fleet.introduce()
+    return fleet
+
+
+def _vary_load(fleet: VirtualFleet) -> None:
+    """Change the free units of every host by more than gossip leaves out."""
+    for host in fleet.hosts.values():
+        membership = host.replication.membership
+        free = {name: fleet.rng.randrange(20) for name in membership.record.free_units}
+        membership.change_record(attrs.evolve(membership.record, free_units=free))
+
+
+def _run_loaded(fleet: VirtualFleet, duration_s: float) -> None:
+    end_s = fleet.now_s + duration_s
+    while fleet.now_s < end_s:
+        _vary_load(fleet)
+        fleet.run(LOAD_PERIOD_S)
+
+
+def _counters(hosts: Sequence[VirtualHost]) -> list[tuple[float, ...]]:
+    return [(h.cpu_s, h.sent_bytes, h.received_bytes, h.sent_messages) for h in hosts]
+
+
+def _spread(fleet: VirtualFleet, value: bytes) -> float:
+    """Return the virtual seconds until a change given to one host is on all hosts."""
+    started_s = fleet.now_s
+    fleet.give(next(reversed(fleet.hosts)), 7, value)
+    while any(host.history[-1:] != [7] for host in fleet.up()):
+        fleet.run(0.01)
+        if fleet.now_s - started_s > 60.0:
+            return float("inf")
+    return fleet.now_s - started_s
+
+
+def _measure(zones: int, hosts: int, seed: int, value: bytes) -> _Cost:
+    fleet = _start(zones, hosts, seed)
+    _run_loaded(fleet, WARM_UP_S)
+    all_hosts = list(fleet.hosts.values())
+    before = _counters(all_hosts)
+    _run_loaded(fleet, MEASURED_S)
+    after = _counters(all_hosts)
+    rates = [
+        [(late - early) / MEASURED_S for late, early in zip(ends, starts, strict=True)]
+        for ends, starts in zip(after, before, strict=True)
+    ]
+    means = [statistics.fmean(column) for column in zip(*rates, strict=True)]
+    return _Cost(
+        cpu_s=means[0],
+        sent_bytes=means[1],
+        received_bytes=means[2],
+        sent_messages=means[3],
+        sent_bytes_max=max(rate[1] for rate in rates),
+        cpu_s_max=max(rate[0] for rate in rates),
+        config_s=_spread(fleet, value),
+    )
+
+
+def _memory_bytes(nodes: int) -> float:
+    """Return the memory that one node needs for its view of a fleet."""
+    frames = []
+    for start in range(0, nodes, 64):
+        records = tuple(
+            record_of(f"i-{number:05}", f"zone-{number // 48:03}", "region-1", 1)
+            for number in range(start, min(nodes, start + 64))
+        )
+        frames.append(messages.encode(MemberUpdate("", records, (0,) * len(records))))
+    own = record_of("i-own", "zone-000", "region-1", 1)
+    tracemalloc.start()
+    membership = Membership(own, (), Random(1), 0.0)
+    for update in frames:
+        membership.handle(messages.decode(update), 0.0)
+    membership.tick(0.3)
+    membership.statuses()
+    used = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return float(used)
+
+
+def _fit(name: str, sizes: Sequence[float], values: Sequence[float], per: str) -> Figures:
+    """Return the linear fit and the largest residual relative to the mean."""
+    slope, base = statistics.linear_regression(sizes, values)
+    residuals = [abs(y - base - slope * x) for x, y in zip(sizes, values, strict=True)]
+    mean = statistics.fmean(values)
+    return {
+        f"{name}_base": base,
+        f"{name}_per_{per}": slope,
+        f"{name}_residual_ratio": max(residuals) / mean if mean else 0.0,
+    }
+
+
+def _series(label: str, hosts: int, zones: Sequence[int], seed: int, value: bytes) -> Figures:
+    costs = [_measure(count, hosts, seed, value) for count in zones]
+    figures: Figures = {}
+    for count, cost in zip(zones, costs, strict=True):
+        for field, measured in attrs.asdict(cost).items():
+            figures[f"{label}_{count}_zones_{field}"] = measured
+    for field in ("cpu_s", "sent_bytes", "received_bytes", "sent_messages"):
+        values = [getattr(cost, field) for cost in costs]
+        figures |= _fit(f"{label}_{field}", [float(count) for count in zones], values, "zone")
+    return figures
+
+
+def run(deployment: str, seed: int) -> Report:
+    """Measure all fleet sizes and return figures, fits and residuals."""
+    value = encode_json(read_lists(deployment))
+    today = _series("today", HOSTS_TODAY, ZONES_TODAY, seed, value)
+    target = _series("target", HOSTS_TARGET, ZONES_TARGET, seed, value)
+    memory = [_memory_bytes(nodes) for nodes in MEMORY_SIZES]
+    figures: Figures = {"config_bytes": float(len(value))} | today | target
+    for nodes, used in zip(MEMORY_SIZES, memory, strict=True):
+        figures[f"memory_{nodes}_nodes_bytes"] = used
+    figures |= _fit("memory_bytes", [float(n) for n in MEMORY_SIZES], memory, "node")
+    at_target = {
+        field: figures[f"target_{field}_base"] + TARGET_ZONES * figures[f"target_{field}_per_zone"]
+        for field in ("cpu_s", "sent_bytes", "received_bytes")
+    }
+    figures |= {f"extrapolated_{TARGET_ZONES}_zones_{k}": v for k, v in at_target.items()}
+    targets: tuple[Target, ...] = (
+        at_most("control_cpu_ratio", at_target["cpu_s"], 0.017),
+        at_most(
+            "control_bytes_per_s", at_target["sent_bytes"] + at_target["received_bytes"], 13_000
+        ),
+        at_most("state_memory_bytes", memory[-1], 32e6),
+    )
+    return Report("slopes", deployment, seed, figures, {}, targets)
+
+
+def main() -> None:
+    """Print the report of one run."""
+    parser = argparse.ArgumentParser(prog="lab.slopes", description=__doc__)
+    parser.add_argument("--deployment", default="cooperativa")
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+    print(run(arguments.deployment, arguments.seed).to_json())
+
+
+if __name__ == "__main__":
+    main()
