--- a/lab/caller.py
+++ b/lab/caller.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import attrs
 import httpcore
@@ -45,7 +45,10 @@
 
 @attrs.frozen
 class Record:
-    """One finished call; outcome is ok, refused (not run), failed, cut or wrong."""
+    """One finished call; outcome is ok, refused (not run), failed, cut or wrong.
+
+    `url`, `sent_s` (after the run's start) and `stages` (`Server-Timing`) are the last attempt's.
+    """
 
     kind: str
     arrival_s: float
@@ -55,6 +58,9 @@
     identity: str
     attempts: int
     only_not_run: bool
+    url: str
+    sent_s: float
+    stages: str
 
 
 @attrs.frozen
@@ -82,13 +88,62 @@
     not_run: bool = False
 
 
+class Connections:
+    """Keep idle connections per host.
+
+    httpcore's own pool looks through all connections on every request, which slows a load process
+    just when calls pile up.
+    """
+
+    def __init__(self) -> None:
+        self._idle: dict[str, list[httpcore.AsyncHTTPConnection]] = {}
+
+    async def request(
+        self,
+        method: str,
+        url: str,
+        headers: Sequence[tuple[bytes, bytes]],
+        body: bytes,
+        limits: Mapping[str, float],
+    ) -> httpcore.Response:
+        """Make one request; raise httpcore errors."""
+        target = httpcore.URL(url)
+        idle = self._idle.setdefault(str(target.origin), [])
+        connection = None
+        while idle and connection is None:
+            connection = idle.pop()
+            if connection.has_expired() or not connection.is_available():
+                await connection.aclose()
+                connection = None
+        if connection is None:
+            connection = httpcore.AsyncHTTPConnection(target.origin, keepalive_expiry=30.0)
+        complete = False
+        try:
+            response = await connection.request(
+                method, target, headers=headers, content=body, extensions={"timeout": dict(limits)}
+            )
+            complete = True
+        finally:
+            if not complete or not connection.is_available():
+                await connection.aclose()
+            else:
+                idle.append(connection)
+        return response
+
+    async def aclose(self) -> None:
+        """Close the idle connections."""
+        for idle in self._idle.values():
+            for connection in idle:
+                await connection.aclose()
+
+
 class Caller:
     """Make calls from several client addresses with shared connections."""
 
     def __init__(self, spec: CallerSpec, seed: int) -> None:
         self._spec = spec
         self._random = random.Random(f"{seed} caller")
-        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
+        self._connections = Connections()
         self._offers: dict[str, tuple[float, tuple[Host, ...]]] = {}
         self._locating: dict[str, asyncio.Task[None]] = {}
         self._bodies: dict[int, bytes] = {}
@@ -99,8 +154,7 @@
 
     async def aclose(self) -> None:
         """Close all connections."""
-        for pool in self._pools.values():
-            await pool.aclose()
+        await self._connections.aclose()
 
     async def make(self, call: Call, start_s: float, arrival_s: float) -> Record:
         """Make one call to its end and return its record."""
@@ -110,14 +164,16 @@
         hosts = await self._hosts(address)
         key = ""
         only_not_run = True
-        outcome, code = "cut", "no_host"
+        outcome, code, stages, url = "cut", "no_host", "", ""
+        sent_s = 0.0
         attempt = 0
         while attempt < ATTEMPTS_MAX and hosts and time.monotonic() < give_up_s:
             host = hosts[attempt % len(hosts)]
             attempt += 1
             if not call.idempotent and not key and host.owner:
                 key = f"{host.owner}:{call.identity}"
-            outcome, code = await self._attempt(call, host.url, key, give_up_s)
+            url, sent_s = host.url, time.monotonic() - start_s
+            outcome, code, stages = await self._attempt(call, url, key, give_up_s)
             only_not_run = only_not_run and outcome in ("refused", "unsent")
             again = outcome in ("unsent", "cut") or (outcome == "refused" and code in RETRY_CODES)
             if not again:
@@ -128,10 +184,22 @@
                 key = "" if only_not_run else key
         latency_s = time.monotonic() - due_s
         return Record(
-            call.kind, arrival_s, latency_s, outcome, code, call.identity, attempt, only_not_run
+            kind=call.kind,
+            arrival_s=arrival_s,
+            latency_s=latency_s,
+            outcome=outcome,
+            code=code,
+            identity=call.identity,
+            attempts=attempt,
+            only_not_run=only_not_run,
+            url=url,
+            sent_s=sent_s,
+            stages=stages,
         )
 
-    async def _attempt(self, call: Call, url: str, key: str, give_up_s: float) -> tuple[str, str]:
+    async def _attempt(
+        self, call: Call, url: str, key: str, give_up_s: float
+    ) -> tuple[str, str, str]:
         headers = [
             (b"Host", b"lab"),
             (b"Authorization", f"Bearer lab-{call.customer}".encode()),
@@ -147,31 +215,25 @@
         left_s = max(0.0, give_up_s - time.monotonic()) + ANSWER_MARGIN_S
         limits = {"connect": CONNECT_TIMEOUT_S, "read": left_s, "write": left_s, "pool": left_s}
         try:
-            response = await self._pool(url).request(
+            response = await self._connections.request(
                 call.method,
                 f"{url}{call.path}{call.identity}",
-                headers=headers,
-                content=body,
-                extensions={"timeout": limits},
+                headers,
+                body,
+                limits,
             )
         except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout):
-            return "unsent", "connect"
+            return "unsent", "connect", ""
         except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
-            return "cut", type(error).__name__
-        return _judge(call, response.status, response.content, len(body))
+            return "cut", type(error).__name__, ""
+        stages = dict(response.headers).get(b"server-timing", b"").decode("latin-1")
+        return *_judge(call, response.status, response.content, len(body)), stages
 
     def _body(self, size: int) -> bytes:
         if size not in self._bodies:
             self._bodies[size] = random.Random(size).randbytes(size)
         return self._bodies[size]
 
-    def _pool(self, url: str) -> httpcore.AsyncConnectionPool:
-        if url not in self._pools:
-            self._pools[url] = httpcore.AsyncConnectionPool(
-                max_connections=4000, max_keepalive_connections=4000, keepalive_expiry=30.0
-            )
-        return self._pools[url]
-
     async def _hosts(self, address: str) -> tuple[Host, ...]:
         if not address:
             start = self._random.randrange(len(self._spec.fixed_urls))
@@ -196,14 +258,16 @@
         known = self._offers.get(address, (0.0, ()))[1]
         urls = [*self._spec.locator_urls, *(host.url for host in known)]
         limits = dict.fromkeys(("connect", "read", "write", "pool"), CONNECT_TIMEOUT_S)
-        headers: Mapping[str, str] = {"Authorization": f"Bearer {self._spec.operator_token}"}
+        token = f"Bearer {self._spec.operator_token}".encode()
+        headers = [(b"Host", b"lab"), (b"Authorization", token)]
         for url in urls:
             try:
-                response = await self._pool(url).request(
+                response = await self._connections.request(
                     "GET",
                     f"{url}/berylchute/v1/locate?address={address}",
-                    headers=[("Host", "lab"), *headers.items()],
-                    extensions={"timeout": limits},
+                    headers,
+                    b"",
+                    limits,
                 )
                 offer = msgspec.json.decode(response.content, type=_Offer)
             except (
--- a/lab/launcher.py
+++ b/lab/launcher.py
@@ -302,6 +302,25 @@
         """Ask a process to shut down gracefully; do not wait."""
         self.processes[name].send_signal(signal.SIGTERM)
 
+    def wait_converged(self, timeout_s: float = 15.0) -> None:
+        """Wait until every started host sees every other one live and ready."""
+        wait_until(self._is_converged, timeout_s, "members do not see each other as ready")
+
+    def _is_converged(self) -> bool:
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        wanted = set(self.host_urls)
+        for url in self.host_urls.values():
+            answer = call("GET", f"{url}/berylchute/v1/members", headers=headers)
+            rows = msgspec.json.decode(answer.content)
+            live = {
+                row["record"]["position"]
+                for row in rows
+                if row["state"] == "live" and row["record"]["ready"]
+            }
+            if not wanted <= live:
+                return False
+        return True
+
     def push_object(self, position: str, key: str, version: int, value: bytes) -> None:
         """Push an accepted object to an entry host as `berylchutectl` does."""
         headers = {
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -1,5 +1,6 @@
 """Form of a scenario's result, and what scenarios share."""
 
+from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from typing import Literal, Protocol
 
@@ -113,7 +114,24 @@
     for name, count in result.outcomes().items():
         if name != "ok":
             figures[f"{prefix}_{name}"] = count
-    return figures
+    return figures | _tail_stages(prefix, result)
+
+
+def _tail_stages(prefix: str, result: LoadResult) -> Figures:
+    """Return the mean time in each stage of the slowest 1% of the answered calls."""
+    answered = sorted(
+        (item for item in result.records if item.outcome == "ok" and item.stages),
+        key=lambda item: item.latency_s,
+    )
+    slowest = answered[-max(1, len(answered) // 100) :]
+    totals: Figures = {}
+    for item in slowest:
+        for part in item.stages.split(","):
+            name, _, rest = part.strip().partition(";dur=")
+            totals[name] = totals.get(name, 0.0) + float(rest or 0)
+    return {
+        f"{prefix}_tail_{name}_ms": round(total / len(slowest), 2) for name, total in totals.items()
+    }
 
 
 def cap_figures(deployment: Deployment) -> Figures:
@@ -128,9 +146,15 @@
     }
 
 
-def call_figures(deployment: Deployment, result: LoadResult) -> Figures:
-    """Return counts of double runs, wrong answers and false statements that work did not run."""
-    runs = deployment.runs()
+def call_figures(
+    deployment: Deployment, result: LoadResult, lost_runs: Mapping[str, int] | None = None
+) -> Figures:
+    """Return counts of double runs, wrong answers and false statements that work did not run.
+
+    `lost_runs` are those of servers that no longer answer.
+    """
+    runs = Counter(deployment.runs())
+    runs.update(lost_runs or {})
     keyed = [item for item in result.records if item.kind not in ("lookup", "upload")]
     return {
         "double_runs": sum(runs.get(item.identity, 0) > 1 for item in keyed),
@@ -159,6 +183,7 @@
             prepare(deployment)
         deployment.start_hosts()
         deployment.start_locator()
+        deployment.wait_converged()
     except BaseException:
         deployment.stop()
         raise
