Let hypothesis order the events of a fleet, and check smaller caps

Cause: the fleet simulation chose events by seed only and never changed a cap; the claim task decoded the whole claims object every 0.1 s.

Change: a rule-based state machine over the fleet; edits may shrink the cap, and use must fit it once every process reports the split settled. The gate keeps its own claim.

--- a/berylchute/claims.py
+++ b/berylchute/claims.py
@@ -169,10 +169,7 @@
         return now_s >= self._next_platform_s and bool(self._gate.waits_for)
 
     def _needs_write(self) -> bool:
-        claims = self._objects.get(CLAIMS_KEY)
-        held = decode_claims(claims.value).find(self._identity.position) if claims else None
-        is_held = held is not None and held.host_id == self._identity.host_id
-        return not is_held or self._is_touch_due()
+        return not self._gate.holds_position or self._is_touch_due()
 
     def _is_touch_due(self) -> bool:
         now_s = self._clock.now_s()
--- a/berylchute/splits.py
+++ b/berylchute/splits.py
@@ -76,6 +76,7 @@
         self._pending = [_Pending(0, 0, 0, {})]
         self._claims_version = 0
         self._claims = ClaimTable()
+        self._own_claim: Claim | None = None
         self._gone_since_s: dict[str, float] = {}
         self._shares: dict[ResourceId, int] = {}
         self.settled_version = 0
@@ -93,6 +94,11 @@
         """Return the newest version of the claims seen."""
         return self._claims_version
 
+    @property
+    def holds_position(self) -> bool:
+        """Tell whether the claims seen name this host for its position."""
+        return self._own_claim is not None
+
     @property
     def is_growing(self) -> bool:
         """Tell whether an earlier split still limits this host's share."""
@@ -121,7 +127,10 @@
         if version <= self._claims_version:
             return
         self._claims_version, self._claims = version, table
-        if self._own_claim() is None:
+        claim = table.find(self._position)
+        is_own = claim is not None and claim.host_id == self._host_id
+        self._own_claim = claim if is_own else None
+        if self._own_claim is None:
             self._claimed_s = None
         elif self._claimed_s is None:
             self._claimed_s = now_s
@@ -134,7 +143,7 @@
 
     def tick(self, members: Sequence[MemberStatus], now_s: float) -> None:
         """Set the ledger's shares and the version that this host's use and loans fit."""
-        claim = self._own_claim()
+        claim = self._own_claim
         is_clear = self._is_clear(claim, now_s)
         self.is_active = claim is not None and is_clear and self._config is not None
         if self.is_active and self.is_growing:
@@ -146,10 +155,6 @@
         if is_clear and not self._ledger.overdrawn(now_s):
             self.settled_version = self.config_version
 
-    def _own_claim(self) -> Claim | None:
-        claim = self._claims.find(self._position)
-        return claim if claim is not None and claim.host_id == self._host_id else None
-
     def _is_clear(self, claim: Claim | None, now_s: float) -> bool:
         """Tell whether nothing of a predecessor at this position can still run.
 
--- a/tests/test_splits.py
+++ b/tests/test_splits.py
@@ -4,6 +4,9 @@
 
 import attrs
 import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from berylchute.borrowing import Peer
 from berylchute.claims import plan_claim
@@ -69,8 +72,9 @@
 class Fleet:
     """Processes that come, go and are replaced while operators edit the positions."""
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, slots: tuple[int, ...] = (6, 6, 4)) -> None:
         self.rng = rng
+        self.slots = slots
         self.world = World({}, lambda _a, _b: 1.5)
         self.world.caps = {SLOT: 6, "region:r": 6}
         self.revision = 1
@@ -123,9 +127,10 @@
 
     def edit(self, process: Process) -> None:
         positions = self.rng.choice(["a", "b", "ab", "bc", "abc", "abcd"])
+        slots = self.rng.choice(self.slots)
         generation = self.configs[-1][1].generation + 1
         self.revision += 1
-        self.configs.append((self.revision, configuration(positions, generation=generation)))
+        self.configs.append((self.revision, configuration(positions, slots, generation)))
 
     def crash(self, process: Process) -> None:
         process.alive = False
@@ -221,6 +226,50 @@
     def deliver(self, process: Process) -> None:
         self.world.deliver_due()
 
+    def check(self) -> None:
+        """Check the caps, and the smaller cap of the newest split once all report it settled."""
+        assert self.world.over_cap() == {}
+        version, newest = self.configs[-1]
+        gates = [process.gate for process in self.processes.values()]
+        if all(p.alive for p in self.processes.values()) and all(
+            gate.config_version == version == gate.settled_version for gate in gates
+        ):
+            assert self.world.in_use(SLOT) <= newest.backend_servers[0].slots
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Let hypothesis choose the order of events of a fleet."""
+
+    ACTIONS = (
+        *("edit", "crash", "restart", "replace", "long_time"),
+        *("run_healthily", "sync", "hear", "write", "tick", "use", "finish", "deliver"),
+    )
+
+    @initialize(seed=st.integers(0, 1_000_000))
+    def begin(self, seed: int) -> None:
+        self.fleet = Fleet(random.Random(seed))
+        for _ in range(4):
+            self.fleet.run_healthily(self.fleet.processes["a1"])
+
+    @rule(action=st.sampled_from(ACTIONS), index=st.integers(0, 6))
+    def act(self, action: str, index: int) -> None:
+        processes = list(self.fleet.processes.values())
+        getattr(self.fleet, action)(processes[index % len(processes)])
+
+    @rule(by_s=st.sampled_from([0.02, 0.5, 2.0]))
+    def pass_time(self, by_s: float) -> None:
+        self.fleet.world.advance(by_s)
+
+    @invariant()
+    def caps_hold(self) -> None:
+        """Guard against units in use beyond a cap in any order of events."""
+        if hasattr(self, "fleet"):
+            self.fleet.check()
+
+
+FleetMachine.TestCase.settings = settings(max_examples=60, stateful_step_count=50, deadline=None)
+TestFleet = FleetMachine.TestCase
+
 
 @pytest.mark.parametrize("seed", range(12))
 def test_caps_hold_through_edits_restarts_and_replacements(seed: int) -> None:
@@ -228,14 +277,14 @@
     fleet = Fleet(random.Random(seed))
     for _ in range(2000):
         fleet.step()
-        assert fleet.world.over_cap() == {}
+        fleet.check()
 
 
 def test_fleet_reaches_full_use() -> None:
     """Guard against a simulation that passes because nothing is ever used."""
     peaks = []
     for seed in range(5):
-        fleet = Fleet(random.Random(seed))
+        fleet = Fleet(random.Random(seed), slots=(6,))
         peak = 0
         for _ in range(1500):
             fleet.step()
