--- a/lab/caller.py
+++ b/lab/caller.py
@@ -9,7 +9,7 @@
 import httpcore
 import msgspec
 
-__all__ = ["Call", "Caller", "CallerSpec", "Host", "Record"]
+__all__ = ["Call", "Caller", "CallerSpec", "Host", "Record", "judge"]
 
 CONNECT_TIMEOUT_S = 0.5
 ATTEMPTS_MAX = 4
@@ -227,7 +227,7 @@
         except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
             return "cut", type(error).__name__, ""
         stages = dict(response.headers).get(b"server-timing", b"").decode("latin-1")
-        return *_judge(call, response.status, response.content, len(body)), stages
+        return *judge(call, response.status, response.content, len(body)), stages
 
     def _body(self, size: int) -> bytes:
         if size not in self._bodies:
@@ -282,7 +282,8 @@
                 return
 
 
-def _judge(call: Call, status: int, content: bytes, sent_bytes: int) -> tuple[str, str]:
+def judge(call: Call, status: int, content: bytes, sent_bytes: int) -> tuple[str, str]:
+    """Return outcome and code of an answer."""
     try:
         answer = msgspec.json.decode(content, type=_Answer)
     except msgspec.MsgspecError:
--- a/lab/load.py
+++ b/lab/load.py
@@ -19,7 +19,7 @@
 
 from lab.caller import Call, Caller, CallerSpec, Record
 
-__all__ = ["LoadKind", "LoadResult", "LoadSpec", "merge", "plot"]
+__all__ = ["LoadKind", "LoadResult", "LoadSpec", "arrivals", "merge", "plot"]
 
 HISTOGRAM_MAX_US = 120_000_000
 
@@ -134,7 +134,8 @@
     pyplot.close(figure)
 
 
-def _arrivals(spec: LoadSpec) -> Iterator[tuple[float, LoadKind]]:
+def arrivals(spec: LoadSpec) -> Iterator[tuple[float, LoadKind]]:
+    """Yield the intended arrivals in order, in seconds after the start."""
     rng = random.Random(f"{spec.seed} {spec.name}")
     planned: list[tuple[float, int]] = []
     for index, kind in enumerate(spec.kinds):
@@ -167,7 +168,7 @@
             for _ in range(kind.concurrency)
         ]
         tasks: set[asyncio.Task[None]] = set(loops)
-        for at_s, kind in _arrivals(spec):
+        for at_s, kind in arrivals(spec):
             wait_s = spec.start_s + at_s - time.monotonic()
             if wait_s > 0:
                 await asyncio.sleep(wait_s)
--- /dev/null
+++ b/tests/test_lab_store_standin.py
@@ -0,0 +1,86 @@
+"""Check the store stand-in that every scenario relies on."""
+
+from typing import Any
+
+import anyio
+import msgspec
+
+from lab.asgi import Scope
+from lab.store_standin import StoreStandIn
+
+
+class _Transport:
+    def __init__(self) -> None:
+        self.aborted = False
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
+def _call(
+    store: StoreStandIn, method: str, target: str, body: bytes = b"", **headers: str
+) -> tuple[int, bytes, _Transport]:
+    path, _, query = target.partition("?")
+    transport = _Transport()
+    scope: Scope = {
+        "method": method,
+        "path": path,
+        "query_string": query.encode(),
+        "headers": [(k.replace("_", "-").encode(), v.encode()) for k, v in headers.items()],
+        "lab.transport": transport,
+    }
+    sent: list[dict[str, Any]] = []
+
+    async def receive() -> dict[str, Any]:
+        return {"type": "http.request", "body": body, "more_body": False}
+
+    async def send(message: dict[str, Any]) -> None:
+        sent.append(message)
+
+    async def run() -> None:
+        await store(scope, receive, send)
+
+    anyio.run(run)
+    if not sent:
+        return 0, b"", transport
+    return sent[0]["status"], sent[1]["body"], transport
+
+
+def test_conditional_update_refuses_old_version() -> None:
+    """Guards against a stand-in that lets racing edits overwrite each other."""
+    store = StoreStandIn()
+    assert _call(store, "PUT", "/objects/config", b"1", if_none_match="*")[0] == 200
+    assert _call(store, "PUT", "/objects/config", b"2", if_none_match="*")[:2] == (412, b"1")
+    assert _call(store, "PUT", "/objects/config", b"2", if_match='"1"')[0] == 200
+    assert _call(store, "PUT", "/objects/config", b"3", if_match='"1"')[:2] == (412, b"2")
+
+
+def test_lost_answer_takes_effect() -> None:
+    """Guards against a fault that loses the write along with its answer."""
+    store = StoreStandIn()
+    _call(store, "POST", "/control", b'{"lost_put_answers": 1}')
+    status, _, transport = _call(store, "PUT", "/objects/config", b"1", if_none_match="*")
+    assert (status, transport.aborted) == (0, True)
+    assert _call(store, "GET", "/objects/config")[:2] == (200, b"1")
+
+
+def test_stale_read_and_broken_watch_hide_the_newest_version() -> None:
+    """Guards against faults that have no effect, which would make their scenarios pass idly."""
+    store = StoreStandIn()
+    _call(store, "PUT", "/objects/config", b"1", if_none_match="*")
+    _call(store, "PUT", "/objects/config", b"2", if_match='"1"')
+    _call(store, "POST", "/control", b'{"stale_reads": true, "broken_watch": true}')
+    assert _call(store, "GET", "/objects/config")[1] == b"1"
+    watch = msgspec.json.decode(_call(store, "GET", "/watch?after=0&wait_ms=0")[1])
+    assert watch == {"revision": 0, "objects": []}
+
+
+def test_watch_returns_newer_objects_at_once() -> None:
+    """Guards against a watch that misses a write between two calls."""
+    store = StoreStandIn()
+    _call(store, "PUT", "/objects/config", b'{"a":1}', if_none_match="*")
+    watch = msgspec.json.decode(_call(store, "GET", "/watch?after=0&wait_ms=0")[1])
+    assert watch == {
+        "revision": 1,
+        "objects": [{"key": "config", "version": 1, "value": {"a": 1}}],
+    }
