Fix the command line against live entry hosts; write the README

Cause: members and usage answer with lists, the command line expected an envelope. Change: the command line reads the lists; slow sends at most 1000 samples a host; README.

--- a/berylchute/commands.py
+++ b/berylchute/commands.py
@@ -74,7 +74,7 @@
         answer = await self.hosts.get_any("/berylchute/v1/members")
         if answer.status != 200:
             raise HostUnreachable(f"{answer.url}: members answered {answer.status}")
-        return list(answer.body["members"])
+        return [{**status["record"], "state": status["state"]} for status in answer.body]
 
     async def in_use_by_server(self) -> dict[str, int]:
         """Return slots in use by server over all entry hosts that answer."""
@@ -82,7 +82,7 @@
         for answer in await self.hosts.get_all("/berylchute/v1/usage"):
             if answer.status != 200:
                 continue
-            for usage in answer.body["resources"]:
+            for usage in answer.body:
                 kind, _, name = usage["resource"].partition(":")
                 if kind == "server":
                     in_use[name] = in_use.get(name, 0) + usage["in_use"]
--- a/berylchute/entry.py
+++ b/berylchute/entry.py
@@ -48,6 +48,8 @@
 DRAIN_POLL_S = 0.02
 REPORT_S = 0.25
 LOG_FLUSH_S = 0.2
+# Enough for a p99 over several hosts, and small enough to send.
+SLOW_SAMPLES_MAX = 1000
 POOL_CHECK_S = 15.0
 # Above the longest deadline, so that no request can still use the pool.
 POOL_UNUSED_S = 120.0
@@ -144,7 +146,9 @@
                 "members": lambda _: self._node.members.statuses(),
                 "usage": lambda _: self._ledger.usages(self._clock.now_s()),
                 "requests": self._explain,
-                "slow": lambda _: self._samples.window.summary(self._clock.now_s()),
+                "slow": lambda _: self._samples.window.summary(self._clock.now_s()).thinned(
+                    SLOW_SAMPLES_MAX
+                ),
             },
         )
         return Gateway(
