Bound the search for a free server in a full region

At 2,000 sites the search of a full region took most of a decision. Examines eight servers and compares three other regions, and ends when both are used up.

--- a/berylchute/routing.py
+++ b/berylchute/routing.py
@@ -44,9 +44,9 @@
 # Regions examined per decision, and those compared by distance and links before; more would
 # not fit the time of a decision at 44 regions.
 REGIONS_MAX = 3
-REGIONS_COMPARED_MAX = 4
+REGIONS_COMPARED_MAX = 3
 # Servers examined per region; bounds a decision when most servers are full.
-PROBES_MAX = 12
+PROBES_MAX = 8
 # Ranks a server that should get less than its share after all others.
 LOW_WEIGHT_COST_S = 1.0
 # After this many failed attempts a request leaves its region, which may be lost as a whole.
@@ -304,7 +304,7 @@
             if self._drains.is_draining("availability_zone", zone.name):
                 continue
             self._search_zone(ranked, zone, request, reason, now_s, rng)
-            if len(ranked.free) >= enough:
+            if len(ranked.free) >= enough or not ranked.probes:
                 return
 
     def _search_zone(
@@ -320,6 +320,8 @@
         free_units = self._headroom.free_units
         excluded, until_s = request.excluded, request.until_s
         has_room, has_wanted = ranked.free_units > 0, ranked.wanted is not None
+        if has_wanted and not has_room:
+            return
         enough = len(ranked.free) + CHOICES
         for servers in zone.groups:
             index = int(rng.random() * len(servers))
