--- a/berylchute/membership.py
+++ b/berylchute/membership.py
@@ -20,7 +20,7 @@
     Message,
     ObjectDigest,
 )
-from berylchute.roster import Member, Roster, Timing, order_of
+from berylchute.roster import Member, Roster, Timing, is_load_change, is_urgent, order_of
 from berylchute.types import MemberState, MemberStatus, Position
 
 __all__ = ["Membership", "Outgoing", "Timing"]
@@ -31,9 +31,12 @@
 # Records sent in turn whether or not they changed; they repair what lost messages left out.
 ROTATED_RECORDS = 2
 SNAPSHOT_RECORDS = 64
-ZONE_BEATS_MAX = 64
+# After joining, records that were on their way may be missing; then snapshots follow at a rate of
+# SNAPSHOT_RECORDS in each period, whatever the size of the fleet.
+EARLY_PULLS_S = (2.0, 4.0, 6.0)
+PULL_PERIOD_S = 10.0
+ZONE_BEATS_MAX = 32  # today's 6 zones fit in one message, 163 zones in six
 LEAVE_REPEATS = 3
-LOAD_CHANGE_RATIO = 0.2  # smaller changes of free units do not alter a routing decision
 # Share of gossip rounds that also try a seed or a gone member, so that partitions heal.
 RETRY_GONE_RATIO = 0.25
 
@@ -46,21 +49,6 @@
     message: Message
 
 
-def _is_urgent(old: MemberRecord, new: MemberRecord) -> bool:
-    names = ("incarnation", "leaving", "ready", "owner_epoch", "http_url", "peer_address")
-    return any(getattr(old, name) != getattr(new, name) for name in names)
-
-
-def _is_load_change(old: MemberRecord, new: MemberRecord) -> bool:
-    if (old.settled_version, old.config_version) != (new.settled_version, new.config_version):
-        return True
-    for service in old.free_units.keys() | new.free_units.keys():
-        before, after = old.free_units.get(service, 0), new.free_units.get(service, 0)
-        if abs(after - before) > LOAD_CHANGE_RATIO * max(before, after):
-            return True
-    return False
-
-
 class Membership:
     """Run the membership protocol of one process; implements MemberView."""
 
@@ -81,11 +69,12 @@
         self._load: dict[str, int] = {}
         self._rotation: list[str] = []
         self._digest: Mapping[str, int] = {}
-        self._leave_repeats = 0
+        self._leave_repeats = self._beats_sent = self._pulls = 0
         self._joined = not self._seeds
         self._heartbeat_due_s = now_s
         self._update_due_s = now_s + rng.uniform(0.0, self._timing.update_s)
         self._join_due_s = now_s
+        self._pull_due_s = now_s
 
     def statuses(self) -> Sequence[MemberStatus]:
         """Return every known member, itself included, ordered by host id."""
@@ -131,7 +120,7 @@
         if new == old:
             return
         self._roster.replace(self._roster.own, new, self._now_s)
-        if _is_urgent(old, new):
+        if is_urgent(old, new):
             self._heartbeat_due_s = self._now_s
         self._note_change(old, new)
 
@@ -158,6 +147,7 @@
             self._update_due_s = now_s + self._timing.update_s * self._rng.uniform(0.9, 1.1)
             if self.is_relay:
                 out += self._updates(now_s)
+            out += self._pull(now_s)
         return out
 
     def handle(self, message: Message, now_s: float) -> list[Outgoing]:
@@ -186,9 +176,9 @@
         return self._timing.update_s * self._rounds() * crowding
 
     def _note_change(self, old: MemberRecord | None, new: MemberRecord) -> None:
-        if old is None or _is_urgent(old, new):
+        if old is None or is_urgent(old, new):
             self._urgent[new.host_id] = self._rounds()
-        elif _is_load_change(old, new):
+        elif is_load_change(old, new):
             self._load[new.host_id] = 1
 
     def _take_update(self, update: MemberUpdate, now_s: float) -> list[Outgoing]:
@@ -198,7 +188,7 @@
             if record.host_id == self.record.host_id:
                 out += self._refute(record, age_ms, update.sender, now_s)
             else:
-                self._take_record(record, age_ms, now_s)
+                self._take_record(record, age_ms, now_s, spread=not update.snapshot)
         sender = self._roster.members.get(update.sender)
         for name, beat in update.zone_beats.items():
             heard_s = now_s - update.zone_ages_ms.get(name, 0) / 1000.0
@@ -219,7 +209,9 @@
             zone.heard_s = min(zone.heard_s, heard_s)  # the difference is the delay of a message
         return False
 
-    def _take_record(self, record: MemberRecord, age_ms: int, now_s: float) -> None:
+    def _take_record(
+        self, record: MemberRecord, age_ms: int, now_s: float, spread: bool = True
+    ) -> None:
         age_s = age_ms / 1000.0
         silent = age_s >= self._timing.suspect_s
         member = self._roster.members.get(record.host_id)
@@ -233,9 +225,11 @@
                 return
             member = self._roster.add(record, now_s - age_s)
             self._rotation.append(record.host_id)
-            self._note_change(None, record)
+            if spread:
+                self._note_change(None, record)
         elif order_of(record) > order_of(member.record):
-            self._note_change(member.record, record)
+            if spread:
+                self._note_change(member.record, record)
             self._roster.replace(member, record, now_s - age_s)
         elif silent and order_of(record) == order_of(member.record):
             member.heard_s = min(member.heard_s, now_s - age_s)
@@ -243,7 +237,7 @@
             if silent and not member.silent and self._roster.is_monitored(member):
                 self._urgent[record.host_id] = 1  # corrects a relay that missed heartbeats
             return
-        if self._roster.set_silent(member, silent):
+        if self._roster.set_silent(member, silent) and spread:
             self._urgent[record.host_id] = self._rounds()
         self._roster.refresh_member(member, now_s)
 
@@ -320,12 +314,12 @@
         zone = self._roster.zones[member.record.availability_zone]
         return zone.state is MemberState.GONE
 
-    def _update(self, members: Iterable[Member], now_s: float) -> MemberUpdate:
+    def _update(
+        self, members: Iterable[Member], now_s: float, snapshot: bool = False
+    ) -> MemberUpdate:
         members = tuple(members)
         zones = self._roster.zones
-        names = [name for name, zone in zones.items() if zone.beat]
-        if len(names) > ZONE_BEATS_MAX:
-            names = [self._roster.own_zone, *self._rng.sample(names, ZONE_BEATS_MAX - 1)]
+        names = self._next_beats()
         # Only silence found by a relay of the member's zone counts. The silence of a whole zone
         # may be a partition on this side, so that it is never told as a member's own.
         ages_s = (now_s - member.heard_s if member.silent else 0.0 for member in members)
@@ -335,8 +329,32 @@
             ages_ms=tuple(int(age_s * 1000) for age_s in ages_s),
             zone_beats={name: zones[name].beat for name in names},
             zone_ages_ms={name: int((now_s - zones[name].heard_s) * 1000) for name in names},
+            snapshot=snapshot,
         )
 
+    def _next_beats(self) -> list[str]:
+        """Return the zones whose beats the next update carries: each in turn."""
+        names = [name for name, zone in self._roster.zones.items() if zone.beat]
+        if len(names) <= ZONE_BEATS_MAX:
+            return names
+        start = self._beats_sent % len(names)
+        self._beats_sent += ZONE_BEATS_MAX - 1
+        turn = (names[start:] + names[:start])[: ZONE_BEATS_MAX - 1]
+        return list(dict.fromkeys([self._roster.own_zone, *turn]))
+
+    def _pull(self, now_s: float) -> list[Outgoing]:
+        """Ask a relay for all records when it is time to."""
+        targets = [*self._relay_addresses(), *self._gossip_addresses()]
+        if now_s < self._pull_due_s or not targets or not self._joined:
+            return []
+        size = max(1.0, len(self._roster.members) / SNAPSHOT_RECORDS)
+        early = self._pulls < len(EARLY_PULLS_S)
+        delay_s = EARLY_PULLS_S[self._pulls] if early else PULL_PERIOD_S * size
+        self._pull_due_s = now_s + delay_s * self._rng.uniform(0.8, 1.2)
+        self._pulls += 1
+        pull = MemberPull(sender_address=self.record.peer_address)
+        return [Outgoing(self._rng.choice(targets), pull)]
+
     def _snapshot(self, pull: MemberPull, now_s: float) -> list[Outgoing]:
         members = [
             member
@@ -346,7 +364,7 @@
         return [
             Outgoing(
                 pull.sender_address,
-                self._update(members[start : start + SNAPSHOT_RECORDS], now_s),
+                self._update(members[start : start + SNAPSHOT_RECORDS], now_s, snapshot=True),
             )
             for start in range(0, len(members), SNAPSHOT_RECORDS)
         ]
--- a/berylchute/messages.py
+++ b/berylchute/messages.py
@@ -62,6 +62,7 @@
     """Records relayed on behalf of other members; `ages_ms` is the silence so far of each.
 
     `zone_beats` counts the rounds of each zone's relays, `zone_ages_ms` is the time since then.
+    A `snapshot` answers a MemberPull; its records are no news to others.
     """
 
     sender: str
@@ -69,6 +70,7 @@
     ages_ms: tuple[int, ...]
     zone_beats: Mapping[str, int] = attrs.field(factory=dict)
     zone_ages_ms: Mapping[str, int] = attrs.field(factory=dict)
+    snapshot: bool = False
 
 
 @attrs.frozen
--- a/berylchute/roster.py
+++ b/berylchute/roster.py
@@ -8,9 +8,10 @@
 from berylchute.messages import MemberRecord
 from berylchute.types import MemberState, MemberStatus
 
-__all__ = ["Member", "Roster", "Timing", "Zone", "order_of"]
+__all__ = ["Member", "Roster", "Timing", "Zone", "is_load_change", "is_urgent", "order_of"]
 
 RELAYS_PER_ZONE = 2
+LOAD_CHANGE_RATIO = 0.2  # smaller changes of free units do not alter a routing decision
 
 
 @attrs.frozen
@@ -56,6 +57,23 @@
     return record.incarnation, record.sequence
 
 
+def is_urgent(old: MemberRecord, new: MemberRecord) -> bool:
+    """Tell whether others need to know of a change before changes of load."""
+    names = ("incarnation", "leaving", "ready", "owner_epoch", "http_url", "peer_address")
+    return any(getattr(old, name) != getattr(new, name) for name in names)
+
+
+def is_load_change(old: MemberRecord, new: MemberRecord) -> bool:
+    """Tell whether load or versions changed enough to tell others."""
+    if (old.settled_version, old.config_version) != (new.settled_version, new.config_version):
+        return True
+    for service in old.free_units.keys() | new.free_units.keys():
+        before, after = old.free_units.get(service, 0), new.free_units.get(service, 0)
+        if abs(after - before) > LOAD_CHANGE_RATIO * max(before, after):
+            return True
+    return False
+
+
 def _weight(record: MemberRecord) -> bytes:
     name = f"{record.availability_zone}/{record.host_id}"
     return blake2b(name.encode(), digest_size=8).digest()
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -128,6 +128,7 @@
             ages_ms=(0,) * len(records),
             zone_beats=dict.fromkeys(zones, 1),
             zone_ages_ms=dict.fromkeys(zones, 0),
+            snapshot=True,
         )
         for host in self.hosts.values():
             host.replication.handle(update, self.now_s)
