Test members outside the known claims and shrinking in use directly

Cause: a trial mutation that ignores members missing from the known claims passed.

Change: two directed tests of the gate.

--- a/tests/test_splits.py
+++ b/tests/test_splits.py
@@ -404,3 +404,29 @@
     gate.observe_claims(6, claims_of("a1", "b1"), 0.2)
     gate.tick([status("b1", 5, 5, MemberState.SUSPECT)], 0.3)
     assert gate.is_growing
+
+
+def test_member_missing_from_the_known_claims_blocks_growth() -> None:
+    """Guard against growth beside a host whose claim this host has not seen."""
+    gate = started()
+    gate.observe_config(5, configuration("a", generation=2))
+    gate.observe_claims(6, claims_of("a1", "b1"), 0.2)
+    gate.tick([status("b1", 5, 5), status("c1", 1, 1)], 0.3)
+    assert gate.waits_for == ("c1",) and gate.is_growing
+
+
+def test_settled_waits_for_use_to_fit_the_smaller_share() -> None:
+    """Guard against a report of settled while requests beyond the new share still run."""
+    ledger = Ledger()
+    gate = ShareGate("a1", "a", 1, 0.0, ledger)
+    gate.observe_config(1, configuration("a"))
+    gate.observe_claims(2, claims_of("a1"), 0.0)
+    gate.tick([], 0.1)
+    hold = ledger.try_acquire([ResourceUnits(SLOT, 6)], 60.0, 0.2)
+    assert hold is not None
+    gate.observe_config(5, configuration("a", slots=4, generation=2))
+    gate.tick([], 0.3)
+    assert gate.settled_version == 1
+    ledger.release(hold)
+    gate.tick([], 0.4)
+    assert gate.settled_version == 5
