Test a shift runner paused at every store call; tolerate new servers

Cause: the runner was tested with a pause at one point only. The new test also showed that a configuration with a server which the observer does not know yet raises KeyError in the runner's task, which ends the entry program's task group.

Change: a test that pauses the runner before and after every store call while another runner steps or an operator cancels; the observation leaves out unknown servers.

--- a/berylchute/balance.py
+++ b/berylchute/balance.py
@@ -264,6 +264,10 @@
             score_s *= found.penalty(now_s)
         return score_s, found.share(now_s)
 
+    def is_known(self, server: str) -> bool:
+        """Tell whether the configuration last set names the server."""
+        return server in self._servers
+
     def latency_s(self, server: str, now_s: float) -> float:
         """Return the peak-EWMA latency in seconds, without the configured round trip."""
         return self._servers[server].latency_s(now_s)
--- a/berylchute/shiftrunner.py
+++ b/berylchute/shiftrunner.py
@@ -62,7 +62,9 @@
         region = region_of[server.availability_zone]
         if server.service == shift.service and region in capacity:
             capacity[region] += server.slots
-            latencies_s[region].append(observer.latency_s(server.name, now_s))
+            # The observer takes a new configuration a moment later than this task sees it.
+            if observer.is_known(server.name):
+                latencies_s[region].append(observer.latency_s(server.name, now_s))
     live = [status.record.free_units for status in statuses if status.state is MemberState.LIVE]
     free = {
         region: sum(units.get(headroom_key(shift.service, region), 0) for units in live)
--- /dev/null
+++ b/tests/test_shiftrunner.py
@@ -0,0 +1,139 @@
+"""Guard against a runner that acts after a pause as if it still ran the shift."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import attrs
+import pytest
+
+from berylchute import shifts
+from berylchute.balance import ServerObserver
+from berylchute.config import BackendServer, Configuration, HostPosition, Region
+from berylchute.messages import MemberRecord
+from berylchute.shiftrunner import ShiftRunner
+from berylchute.shifts import SHIFTS_KEY, Shift, ShiftSet, ShiftState
+from berylchute.types import MemberState, MemberStatus, StoredObject
+from tests.test_claims import FakeStore
+from tests.test_splits import configuration
+
+STEP = 10
+Hook = Callable[[], Awaitable[None]]
+
+
+def two_regions() -> Configuration:
+    base = configuration("a")
+    return attrs.evolve(
+        base,
+        regions=(Region("from", 10), Region("to", 10)),
+        availability_zones=(
+            attrs.evolve(base.availability_zones[0], name="z1", region="from"),
+            attrs.evolve(base.availability_zones[0], name="z2", region="to"),
+        ),
+        backend_servers=tuple(
+            BackendServer(f"s{n}", "svc", f"z{n}", f"127.0.0.1:{n}", 10) for n in (1, 2)
+        ),
+        host_positions=(HostPosition("a", "z1"),),
+    )
+
+
+@attrs.define
+class PausingStore:
+    """Run `hook` at the numbered point: points lie before and after every store call."""
+
+    store: FakeStore
+    pause_at: int
+    hook: Hook
+    point: int = 0
+
+    async def _pass_point(self) -> None:
+        self.point += 1
+        if self.point == self.pause_at:
+            await self.hook()
+
+    async def get(self, key: str) -> StoredObject | None:
+        await self._pass_point()
+        found = await self.store.get(key)
+        await self._pass_point()
+        return found
+
+    async def put(self, key: str, value: bytes, expected_version: int) -> StoredObject:
+        await self._pass_point()
+        written = await self.store.put(key, value, expected_version)
+        await self._pass_point()
+        return written
+
+
+@attrs.define
+class View:
+    """One runner's view: it believes itself the only live entry host."""
+
+    host_id: str
+    time_s: float = 0.0
+
+    def now_s(self) -> float:
+        return self.time_s
+
+    def statuses(self) -> list[MemberStatus]:
+        free = {"svc/from": 5, "svc/to": 10}
+        record = MemberRecord(
+            self.host_id, "a", "z1", "from", "entry", 1, 1, False, True, "", "", 0, 0, 0, free
+        )
+        return [MemberStatus(record, MemberState.LIVE)]
+
+    def find_position(self, position: str) -> MemberStatus | None:
+        return None
+
+
+def runner_of(view: View, store: object) -> ShiftRunner:
+    return ShiftRunner(
+        view.host_id,
+        store,  # type: ignore[arg-type]
+        view,
+        ServerObserver(),
+        ShiftSet(),
+        view,
+        lambda stored: True,
+    )
+
+
+def stored_shift(store: FakeStore) -> Shift:
+    return shifts.decode(store.objects[SHIFTS_KEY].value)[0]
+
+
+@pytest.mark.parametrize("pause_at", range(1, 13))
+@pytest.mark.parametrize("is_cancelled", [False, True])
+def test_runner_paused_at_any_point_makes_no_late_step(pause_at: int, is_cancelled: bool) -> None:
+    """Guard against a late step over another runner's steps or over a cancellation."""
+    store = FakeStore()
+    shift = Shift("x", "svc", "from", "to", 90, STEP)
+    store.objects[SHIFTS_KEY] = StoredObject(SHIFTS_KEY, 1, shifts.encode([shift]))
+    percents = []
+    other_view = View("h2")
+    other = runner_of(other_view, store)
+
+    async def take_over() -> None:
+        for _ in range(3):
+            await other.step(two_regions())
+            other_view.time_s += 3.0
+            percents.append(stored_shift(store).current_percent)
+        if is_cancelled:
+            current = store.objects[SHIFTS_KEY]
+            cancelled = shifts.cancel(shifts.decode(current.value), "x")
+            await store.put(SHIFTS_KEY, shifts.encode(cancelled), current.version)
+
+    view = View("h1")
+    runner = runner_of(view, PausingStore(store, pause_at, take_over))
+
+    async def run() -> None:
+        for _ in range(4):
+            await runner.step(two_regions())
+            view.time_s += 3.0
+            percents.append(stored_shift(store).current_percent)
+
+    anyio.run(run)
+    rises = [after - before for before, after in zip(percents, percents[1:], strict=False)]
+    assert max(rises) <= STEP
+    assert max(percents) >= STEP
+    if is_cancelled and len(percents) > 4:
+        assert stored_shift(store).state is ShiftState.CANCELLED
+        assert stored_shift(store).current_percent == 0
