Measure lending reach under message loss; outlast broken claims

Cause: reach was measured on a network without loss, and a claims object that cannot be decoded ended the claim task.

--- a/berylchute/claims.py
+++ b/berylchute/claims.py
@@ -144,7 +144,7 @@
                 self._gate.observe_platform(await self._list_hosts(), self._clock.now_s())
             if self._needs_write():
                 await self._write()
-        except StoreError as error:
+        except (StoreError, ConfigError) as error:
             # After a lost answer the next read shows whether the write took effect.
             _LOG.warning("claim of position %s: %s", self._identity.position, error)
             self._delay()
--- a/lab/lending_core.py
+++ b/lab/lending_core.py
@@ -43,8 +43,12 @@
 class Run:
     """One busy host that wants every slot of every server; all others are idle."""
 
-    def __init__(self, config: Configuration, busy: Position, run_s: float, lends: bool) -> None:
-        self.world = World(base_shares(config), lambda a, b: delays_of(config, a, b))
+    def __init__(
+        self, config: Configuration, busy: Position, run_s: float, lends: bool, loss: float = 0.0
+    ) -> None:
+        shares = base_shares(config)
+        seed = list(shares).index(busy)
+        self.world = World(shares, lambda a, b: delays_of(config, a, b), loss=loss, seed=seed)
         self.host: SimHost = self.world.hosts[busy]
         self._requests = requests_of(config)
         self._run_s = run_s
@@ -84,13 +88,13 @@
                 self.world.acquire(self.host, units, self._run_s)
 
 
-def measure(deployment: str, run_s: float, for_s: float) -> dict[str, object]:
+def measure(deployment: str, run_s: float, for_s: float, loss: float) -> dict[str, object]:
     """Return the figures of one deployment: the worst and mean host, and fixed shares."""
     text = (EXAMPLES / deployment / "lists.toml").read_text(encoding="utf-8")
     config = decode_toml(text)
     reached, fixed, over_cap, messages = [], [], 0, []
     for position in config.host_positions:
-        run = Run(config, position.name, run_s, lends=True)
+        run = Run(config, position.name, run_s, lends=True, loss=loss)
         reached.append(run.run(for_s))
         over_cap += run.over_cap
         messages.append(run.messages)
@@ -100,6 +104,7 @@
         "hosts": len(config.host_positions),
         "request_s": run_s,
         "after_s": for_s,
+        "loss": loss,
         "reach_min": round(min(reached), 3),
         "reach_mean": round(sum(reached) / len(reached), 3),
         "fixed_mean": round(sum(fixed) / len(fixed), 3),
@@ -113,12 +118,13 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--deployment", choices=["cooperativa", "turnback"])
     parser.add_argument("--after", type=float, nargs="+", default=[0.1, 0.25, 0.5, 1.0])
+    parser.add_argument("--loss", type=float, default=0.0, help="part of messages dropped")
     options = parser.parse_args()
     started_s = time.perf_counter()
     for deployment in [options.deployment] if options.deployment else ["cooperativa", "turnback"]:
         for run_s in (2.0, 60.0):
             for for_s in options.after:
-                print(json.dumps(measure(deployment, run_s, for_s)))
+                print(json.dumps(measure(deployment, run_s, for_s, options.loss)))
     print(json.dumps({"elapsed_s": round(time.perf_counter() - started_s, 1)}))
 
 
--- a/lab/lending_world.py
+++ b/lab/lending_world.py
@@ -1,5 +1,6 @@
 """Simulate hosts that lend to each other, on a virtual clock and a network without promises."""
 
+import random
 from collections.abc import Callable, Mapping, Sequence
 
 import attrs
@@ -63,8 +64,13 @@
         shares: Mapping[Position, Mapping[ResourceId, int]],
         one_way_ms: OneWayMs,
         rates: Sequence[float] = (1.0,),
+        loss: float = 0.0,
+        seed: int = 0,
     ) -> None:
+        """Start one host per position; `loss` is the part of messages that the network drops."""
         self.now_s = 0.0
+        self._loss = loss
+        self._rng = random.Random(seed)
         self.shares = shares
         self.flights: list[Flight] = []
         self.running: list[Work] = []
@@ -127,6 +133,8 @@
     def send(self, host: SimHost, outgoing: Sequence[Outgoing]) -> None:
         """Put messages on the network."""
         for item in outgoing:
+            if self._rng.random() < self._loss:
+                continue
             delay_s = self._one_way_ms(host.position, item.address) / 1000
             self.flights.append(Flight(self.now_s + delay_s, item.address, item.message))
 
