--- a/berylchute/entry.py
+++ b/berylchute/entry.py
@@ -34,11 +34,13 @@
 from berylchute.metrics import Metrics
 from berylchute.node import ConfigurationInForce, MonotonicClock, Node
 from berylchute.ownership import Ownership
+from berylchute.pacing import LinkPacer, LinkWaiter
 from berylchute.routing import NextRegionFirst, Router
 from berylchute.settings import Settings, load
 from berylchute.shares import base_shares, connection_shares
 from berylchute.tracing import RecentRequests, Tracer, TraceSink
 from berylchute.traffic import Traffic, headroom
+from berylchute.transfers import Transfers
 from berylchute.types import MemberState, StoredObject
 
 __all__ = ["Entry", "main"]
@@ -48,6 +50,8 @@
 DRAIN_POLL_S = 0.02
 REPORT_S = 0.25
 LOG_FLUSH_S = 0.2
+# Enough for a p99 over several hosts, and small enough to send.
+SLOW_SAMPLES_MAX = 1000
 POOL_CHECK_S = 15.0
 # Above the longest deadline, so that no request can still use the pool.
 POOL_UNUSED_S = 120.0
@@ -55,14 +59,6 @@
 logger = logging.getLogger(__name__)
 
 
-class _NoLinkLimits:
-    """Answer that no link delays bytes."""
-
-    def wait_s(self, link: str, size_bytes: int, now_s: float) -> float:
-        """Return zero."""
-        return 0.0
-
-
 class Entry:
     """Wire the parts of the entry program and run its tasks."""
 
@@ -75,6 +71,7 @@
         self._is_stopping = False
         self._background = Background()
         self._ledger = Ledger()
+        self._pacer = LinkPacer(self._ledger, {})
         self._observer = ServerObserver(record.availability_zone, record.region)
         self._traffic = Traffic(self._node, self._ledger, self._observer)
         self._shares: Mapping[str, Mapping[str, int]] = {}
@@ -103,7 +100,7 @@
             self._ledger,
             self._traffic.drains,
             self._traffic.shifts,
-            _NoLinkLimits(),
+            self._pacer,
             reserve,
             NextRegionFirst(),
         )
@@ -122,6 +119,7 @@
             self._background,
             ExtraLoadBudget(),
             HedgeDelays(),
+            Transfers(LinkWaiter(self._pacer, self._clock), self._background),
         )
         ownership = Ownership(
             self._clock,
@@ -144,7 +142,9 @@
                 "members": lambda _: self._node.members.statuses(),
                 "usage": lambda _: self._ledger.usages(self._clock.now_s()),
                 "requests": self._explain,
-                "slow": lambda _: self._samples.window.summary(self._clock.now_s()),
+                "slow": lambda _: self._samples.window.summary(self._clock.now_s()).thinned(
+                    SLOW_SAMPLES_MAX
+                ),
             },
         )
         return Gateway(
@@ -197,6 +197,7 @@
         configuration, position = in_force.configuration, self._settings.host.position
         self._shares = base_shares(configuration)
         own = self._shares.get(position, {})
+        self._pacer.set_shares(own)
         self._lending.set_peers(self._lenders(configuration))
         self._placer.configure(
             configuration, own, connection_shares(configuration).get(position, {})
