Pause refused closed loops of the load tool

Cause: in the lending scenario 9472 refusals in 8 s kept the one busy host occupied. Change: a closed loop waits 0.2 s after a call that was not answered.

--- a/lab/load.py
+++ b/lab/load.py
@@ -22,6 +22,8 @@
 __all__ = ["LoadKind", "LoadResult", "LoadSpec", "arrivals", "merge", "plot"]
 
 HISTOGRAM_MAX_US = 120_000_000
+# Without a pause, refused closed loops would keep the entry host busy with refusals alone.
+REFUSED_PAUSE_S = 0.2
 
 
 @attrs.frozen
@@ -184,6 +186,8 @@
     async def _closed_loop(self, kind: LoadKind) -> None:
         while (at_s := time.monotonic() - self._spec.start_s) < self._spec.duration_s:
             await self._send(kind, at_s)
+            if self._records[-1].outcome != "ok":
+                await asyncio.sleep(REFUSED_PAUSE_S)
 
     async def _send(self, kind: LoadKind, at_s: float) -> None:
         self._number += 1
