--- a/lab/measure.py
+++ b/lab/measure.py
@@ -15,7 +15,7 @@
 from lab.scenarios.control import config, store_outage
 from lab.scenarios.overhead import overhead
 from lab.scenarios.overload import overload
-from lab.scenarios.pure import decide
+from lab.scenarios.pure import decide, slopes
 from lab.scenarios.stops import drain, host_loss, region_loss
 from lab.scenarios.tail import mixed_sizes, slowed_servers
 from lab.workload import WORKLOADS
@@ -35,6 +35,7 @@
     "lending": lending,
     "shift": shift,
     "decide": decide,
+    "slopes": slopes,
 }
 LOCK_FILE = Path(tempfile.gettempdir()) / "berylchute-lab.lock"
 
