--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -111,9 +111,10 @@
         f"{prefix}_p99_ms": round(result.percentile_ms(99), 2),
         f"{prefix}_load_lag_max_ms": round(result.lag_max_s * 1000, 1),
     }
-    for name, count in result.outcomes().items():
-        if name != "ok":
-            figures[f"{prefix}_{name}"] = count
+    for kind in sorted({item.kind for item in result.records}):
+        for name, count in result.of([kind]).outcomes().items():
+            if name != "ok":
+                figures[f"{prefix}_{kind}_{name}"] = count
     return figures | _tail_stages(prefix, result)
 
 
