--- a/berylchute/entry.py
+++ b/berylchute/entry.py
@@ -35,7 +35,7 @@
 from berylchute.node import ConfigurationInForce, MonotonicClock, Node
 from berylchute.ownership import Ownership
 from berylchute.pacing import LinkPacer, LinkWaiter
-from berylchute.routing import NextRegionFirst, Router
+from berylchute.routing import QuickerFirst, Router
 from berylchute.settings import Settings, load
 from berylchute.shares import base_shares, connection_shares
 from berylchute.tracing import RecentRequests, Tracer, TraceSink
@@ -102,7 +102,7 @@
             self._traffic.shifts,
             self._pacer,
             reserve,
-            NextRegionFirst(),
+            QuickerFirst(),
         )
         return CapacityPlacer(self._clock, rng, router, self._ledger, observer, reserve)
 
--- a/berylchute/ledger.py
+++ b/berylchute/ledger.py
@@ -78,6 +78,8 @@
 
     def free(self, until_s: float) -> int:
         units = self.own_free()
+        if not self.borrowed:
+            return units
         for loan in self.borrowed.values():
             units += loan.free(until_s)
         return units
@@ -111,6 +113,7 @@
         self._demand: dict[tuple[ResourceId, bool], Demand] = {}
         self._overdrawn: set[ResourceId] = set()
         self._next_hold = 1
+        self._next_end_s = float("inf")
         self.set_shares(shares or {})
 
     def set_shares(self, shares: Mapping[ResourceId, int]) -> None:
@@ -143,6 +146,7 @@
         hold = Hold(self._next_hold, tuple(wanted), until_s)
         self._next_hold += 1
         self._holds[hold.hold_id] = parts
+        self._next_end_s = min(self._next_end_s, until_s)
         heapq.heappush(self._hold_ends, (until_s, hold.hold_id))
         return hold
 
@@ -156,7 +160,9 @@
 
     def free_units(self, resource: ResourceId, until_s: float, now_s: float) -> int:
         """Return the units that a request ending by `until_s` could take now."""
-        self.expire(now_s)
+        # Routing asks this for every candidate, most often with nothing to expire.
+        if now_s >= self._next_end_s:
+            self.expire(now_s)
         account = self._accounts.get(resource)
         return account.free(until_s) if account is not None and until_s > now_s else 0
 
@@ -197,6 +203,8 @@
         while self._lent_ends and self._lent_ends[0][0] <= now_s:
             _, resource, loan_id = heapq.heappop(self._lent_ends)
             self.limit_lent(loan_id, resource, 0)
+        heads = (self._hold_ends, self._loan_ends, self._lent_ends)
+        self._next_end_s = min((heap[0][0] for heap in heads if heap), default=float("inf"))
 
     def lendable(self, resource: ResourceId, now_s: float) -> int:
         """Return the own units that may be lent now, without the reserve for recent use."""
@@ -213,6 +221,7 @@
         account = self._account(resource)
         account.lent[loan_id] = account.lent.get(loan_id, 0) + units
         account.lent_units += units
+        self._next_end_s = min(self._next_end_s, back_s)
         heapq.heappush(self._lent_ends, (back_s, resource, loan_id))
 
     def limit_lent(self, loan_id: str, resource: ResourceId, remaining: int) -> None:
@@ -247,6 +256,7 @@
         account = self._account(resource)
         if loan_id not in account.borrowed:
             account.borrowed[loan_id] = _Borrowed(units, expires_s, peak=units)
+            self._next_end_s = min(self._next_end_s, expires_s)
             heapq.heappush(self._loan_ends, (expires_s, resource, loan_id))
 
     def renew(
--- a/berylchute/shifts.py
+++ b/berylchute/shifts.py
@@ -64,8 +64,8 @@
 
     @property
     def is_active(self) -> bool:
-        """Tell whether a runner still works on the shift."""
-        return self.state in (ShiftState.RUNNING, ShiftState.HELD)
+        """Tell whether a runner still watches the shift; a done one may have to step back."""
+        return self.state is not ShiftState.CANCELLED
 
 
 @attrs.frozen
@@ -179,11 +179,13 @@
             known = self._seen[shift.id] = _Seen(shift, now_s)
         known.shift = shift
         if now_s - seen.observed_s > OBSERVATION_AGE_MAX_S:
-            return self._hold(shift, "no recent report of headroom")
+            return None if shift.state is ShiftState.DONE else self._hold(shift, "no recent report")
         if seen.to_free < seen.to_capacity * BACK_FREE_MIN and shift.current_percent:
             if now_s - known.since_s < STEP_INTERVAL_S:
                 return None
             return self._move(shift, -shift.step_percent, "stepped back: target out of headroom")
+        if shift.state is ShiftState.DONE:
+            return None
         reason = self._shortage(shift, seen)
         if reason:
             return self._hold(shift, reason)
--- a/tests/test_shifts.py
+++ b/tests/test_shifts.py
@@ -68,6 +68,9 @@
 
 def test_shift_steps_back_when_headroom_runs_out() -> None:
     """Guards against a shift that keeps a full target full."""
+    done = attrs.evolve(SHIFT, current_percent=50, state=ShiftState.DONE)
+    assert drive(ShiftDriver("a"), done, STEP_INTERVAL_S) == done
+    assert drive(ShiftDriver("a"), done, STEP_INTERVAL_S, to_free=0).current_percent == 40
     shift = attrs.evolve(SHIFT, current_percent=30)
     back = drive(ShiftDriver("a"), shift, STEP_INTERVAL_S, to_free=int(60 * BACK_FREE_MIN))
     assert (back.state, back.current_percent) == (ShiftState.HELD, 20)
