--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -77,6 +77,7 @@
         self.views = Views()
         self.ledger = Ledger(base_shares(CONFIGURATION)["p"])
         observer, reserve = ServerObserver(), ShortReserve()
+        self.reserve = reserve
         router = Router(
             "z",
             "r",
@@ -170,6 +171,8 @@
         lab.placer.confirm(placement)
         lab.placer.confirm(placement)
         assert lab.in_use() == 1
+        # With one unit of two in use, the other stays reserved for short work.
+        assert not lab.reserve.allows("long", SERVER, 1)
         lab.placer.finish(other, AttemptEnd.ANSWERED, confirmed=True)
         assert lab.in_use() == 0
 
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -146,6 +146,19 @@
     assert table.begin(key, b"d", 1.0).action is expected
 
 
+@pytest.mark.parametrize("end", [lambda table, key: None, _answered, _unknown])
+def test_a_record_is_dispatched_once(
+    end: Callable[[IdempotencyTable, RecordKey], object],
+) -> None:
+    """Guard against a second dispatch under a permission that was used or has ended."""
+    table = IdempotencyTable("p", 1, 0.0)
+    key = _key(table, "x", 0.0)
+    table.begin(key, b"d", 0.0)
+    table.mark_dispatched(key)
+    end(table, key)
+    assert not table.mark_dispatched(key)
+
+
 def test_an_answer_is_never_replaced() -> None:
     """Guard against a late second outcome changing what repeats are told."""
     table = IdempotencyTable("p", 1, 0.0)
