Add metrics of peers, store calls, members and configuration version

Operators could not see message rates, dropped messages or store failures. metrics reads the counts of the node tasks when it is asked; entry and locator programs wire them.

--- a/berylchute/entry.py
+++ b/berylchute/entry.py
@@ -85,6 +85,7 @@
         self._locator = Locator()
         self._exchanger = HttpExchanger(self._clock)
         self._metrics = Metrics()
+        self._metrics.read_node = self._node.counts
         self._metrics.in_flight.set_function(lambda: self.state.in_flight)
         self._placer = self._compose_placer()
         self._table = IdempotencyTable(record.position, record.incarnation, self._clock.now_s())
--- a/berylchute/locatord.py
+++ b/berylchute/locatord.py
@@ -35,8 +35,10 @@
         self._locator = Locator()
         self._configured_version = 0
         self._leaving = False
+        metrics = Metrics()
+        metrics.read_node = self._node.counts
         self._app = Endpoints(
-            Metrics(),
+            metrics,
             OperatorDirectory(settings.operators.token_sha256),
             self._is_ready,
             lambda key, version, value: self._node.receive_object(
--- a/berylchute/metrics.py
+++ b/berylchute/metrics.py
@@ -1,9 +1,15 @@
 """Define every prometheus metric of the programs."""
 
+from collections.abc import Callable, Iterable
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
+from prometheus_client.metrics_core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
 
+from berylchute.node import NodeCounts
 from berylchute.tracing import STAGES, RequestRecord
+from berylchute.types import MemberState
 
 __all__ = ["CONTENT_TYPE_LATEST", "Metrics"]
 
@@ -11,11 +17,64 @@
 _BUCKETS_S = (0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 60)
 
 
+class _NodeCollector(Collector):
+    """Read the counts of the node tasks when metrics are asked for."""
+
+    def __init__(self, read: Callable[[], NodeCounts]) -> None:
+        self._read = read
+
+    def collect(self) -> Iterable[Metric]:
+        """Return the metrics of peers, store calls, members and the configuration."""
+        counts = self._read()
+        peers = counts.peers
+        messages = CounterMetricFamily(
+            "berylchute_peer_messages", "Messages between hosts by direction.", None, ("direction",)
+        )
+        sizes = CounterMetricFamily(
+            "berylchute_peer_bytes", "Bytes of messages between hosts.", None, ("direction",)
+        )
+        for direction in ("sent", "received"):
+            messages.add_metric([direction], getattr(peers, f"{direction}_messages"))
+            sizes.add_metric([direction], getattr(peers, f"{direction}_bytes"))
+        dropped = CounterMetricFamily(
+            "berylchute_peer_dropped_messages", "Messages dropped by reason.", None, ("reason",)
+        )
+        for reason in ("queue_full", "peer_full", "invalid"):
+            dropped.add_metric([reason], getattr(peers, f"dropped_{reason}"))
+        dropped.add_metric(["subscriber_full"], counts.dropped_subscriber_full)
+        members = GaugeMetricFamily(
+            "berylchute_members_count", "Members known to this process by state.", None, ("state",)
+        )
+        for state in MemberState:
+            members.add_metric([state.value], counts.members.get(state.value, 0))
+        return [messages, sizes, dropped, members, *_store_metrics(counts)]
+
+
+def _store_metrics(counts: NodeCounts) -> list[Metric]:
+    return [
+        CounterMetricFamily(
+            "berylchute_store_calls", "Calls to the object store.", counts.store_calls
+        ),
+        CounterMetricFamily(
+            "berylchute_store_call_failures",
+            "Calls to the object store that ended without an answer.",
+            counts.store_failures,
+        ),
+        GaugeMetricFamily(
+            "berylchute_config_version_number",
+            "Store version of the configuration in force.",
+            counts.config_version,
+        ),
+    ]
+
+
 class Metrics:
     """Hold the metrics of one process in their own registry."""
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        self.read_node: Callable[[], NodeCounts] = NodeCounts
+        self.registry.register(_NodeCollector(lambda: self.read_node()))
         self.requests = Counter(
             "berylchute_requests_total",
             "Finished requests by service, kind and outcome.",
--- a/berylchute/node.py
+++ b/berylchute/node.py
@@ -2,6 +2,7 @@
 
 import logging
 import time
+from collections import Counter
 from collections.abc import Mapping, Sequence
 from random import Random
 from typing import Literal, TypeVar
@@ -22,7 +23,7 @@
 from berylchute.types import Clock, MemberView, ObjectStore, PeerSender, StoredObject
 from berylchute.watch import ReadCall, StoreCall, WatchPlan
 
-__all__ = ["ConfigurationInForce", "MonotonicClock", "Node"]
+__all__ = ["ConfigurationInForce", "MonotonicClock", "Node", "NodeCounts"]
 
 _LOG = logging.getLogger(__name__)
 _Item = TypeVar("_Item")
@@ -51,6 +52,18 @@
     configuration: Configuration
 
 
+@attrs.frozen
+class NodeCounts:
+    """Counts of a node since its start, and its present view, for metrics."""
+
+    peers: PeerCounters = attrs.field(factory=PeerCounters)
+    dropped_subscriber_full: int = 0
+    store_calls: int = 0
+    store_failures: int = 0
+    config_version: int = 0
+    members: Mapping[str, int] = attrs.field(factory=dict)
+
+
 @attrs.frozen
 class _ObjectSubscription:
     keys: tuple[str, ...]
@@ -119,6 +132,17 @@
         """Return message and byte counts of the peer sockets."""
         return self._peers.counters
 
+    def counts(self) -> NodeCounts:
+        """Return the counts that metrics show."""
+        return NodeCounts(
+            peers=self._peers.counters,
+            dropped_subscriber_full=self.dropped_messages,
+            store_calls=getattr(self._store, "calls", 0),
+            store_failures=getattr(self._store, "failures", 0),
+            config_version=self._in_force.version if self._in_force else 0,
+            members=Counter(status.state.value for status in self._membership.statuses()),
+        )
+
     @property
     def objects(self) -> ObjectReplica:
         """Return the replica of the store's objects, for reading."""
