Report how much work followed a shift

Cause: shift ran with link_peak 0 and no byte between regions while the shift object reached 100%. Change: moved_share gives the target region's part of the uploads started after the declaration. Before: 4481 of 4481 calls answered, shift_percent_at_end 100, no upload crossed a link, so its targets were met without a shift of traffic.

--- a/lab/scenarios/capacity.py
+++ b/lab/scenarios/capacity.py
@@ -106,6 +106,14 @@
     return attrs.evolve(lists, links=links)
 
 
+def _started_by_region(deployment: Deployment, service: str) -> Counter[str]:
+    started: Counter[str] = Counter()
+    for row in deployment.server_stats():
+        if row["service"] == service:
+            started[row["region"]] += row["started"]
+    return started
+
+
 def _declare_shift(deployment: Deployment, service: str) -> None:
     origin, target = (item.name for item in deployment.lists.regions[:2])
     value = [
@@ -175,9 +183,14 @@
             if lists.region_of(item.availability_zone) == target
         ]
         deployment.set_servers(cold, cold_factor=COLD_FACTOR, cold_s=COLD_S)
+        before = _started_by_region(deployment, workload.upload_service)
         _declare_shift(deployment, workload.upload_service)
         result = load.wait()
         figures = _shift_figures(deployment, result)
+        moved = _started_by_region(deployment, workload.upload_service)
+        moved.subtract(before)
+        # Peaks of links mean nothing when no work followed the shift.
+        figures["moved_share"] = ratio(moved[target], moved.total())
     targets = (
         at_most("link_peak", figures["link_peak"], 1.0),
         at_most("region_peak", figures["region_peak"], 1.0),
