Export QuickerFirst from routing

Cause: the entry program takes the policies from routing, which did not export the new default. Change: one more re-export.

--- a/berylchute/routing.py
+++ b/berylchute/routing.py
@@ -17,6 +17,7 @@
     FullRegion,
     FullRegionPolicy,
     NextRegionFirst,
+    QuickerFirst,
     RouteAction,
     WaitFirst,
 )
@@ -32,6 +33,7 @@
     "HeadroomView",
     "LinkView",
     "NextRegionFirst",
+    "QuickerFirst",
     "RankReason",
     "Route",
     "RouteAction",
