Share the daemons' command line and check settings values

Cause: both programs repeated the command line; wrong addresses and missing CURVE keys were found only while running; a wrong option exited with 1. Change: program.run_command_line; settings check addresses, positive numbers, log level, key pairs, and ask for CURVE keys once the peer socket leaves loopback.

--- a/berylchute/entry.py
+++ b/berylchute/entry.py
@@ -3,14 +3,11 @@
 import logging
 import random
 import signal
-import sys
 from collections.abc import Mapping
-from pathlib import Path
 
 import anyio
-import cyclopts
 
-from berylchute import __version__, logs
+from berylchute import logs
 from berylchute.admission import ShortReserve
 from berylchute.background import Background
 from berylchute.balance import ServerObserver
@@ -18,7 +15,6 @@
 from berylchute.config import Configuration
 from berylchute.dispatch import CapacityPlacer
 from berylchute.endpoints import Endpoints
-from berylchute.exceptions import SettingsError
 from berylchute.exchange import HttpExchanger
 from berylchute.explaining import Explanation, SampleSink, explain
 from berylchute.forwarding import Forwarder
@@ -35,8 +31,9 @@
 from berylchute.node import ConfigurationInForce, MonotonicClock, Node
 from berylchute.ownership import Ownership
 from berylchute.pacing import LinkPacer, LinkWaiter
+from berylchute.program import run_command_line
 from berylchute.routing import QuickerFirst, Router
-from berylchute.settings import Settings, load
+from berylchute.settings import Settings
 from berylchute.shares import base_shares, connection_shares
 from berylchute.tracing import RecentRequests, Tracer, TraceSink
 from berylchute.traffic import Traffic, headroom
@@ -287,35 +284,9 @@
             self._node.peers.send(outgoing.address, outgoing.message)
 
 
-app = cyclopts.App(name="berylchute-entry", version=__version__, help=__doc__)
-
-
-@app.default
-def run(*, settings: Path, check: bool = False) -> None:
-    """Run the entry program.
-
-    Parameters
-    ----------
-    settings
-        TOML settings file of this process.
-    check
-        Check the settings and exit.
-    """
-    try:
-        loaded = load(settings)
-    except SettingsError as error:
-        print(error, file=sys.stderr)
-        raise SystemExit(2) from error
-    if check:
-        print(f"{settings}: ok")
-        return
-    logs.configure(loaded.log)
-    anyio.run(Entry(loaded).serve)
-
-
 def main() -> None:
     """Run the command line."""
-    app()
+    run_command_line("berylchute-entry", "Carry requests from callers to backend servers.", Entry)
 
 
 if __name__ == "__main__":
--- a/berylchute/locatord.py
+++ b/berylchute/locatord.py
@@ -2,21 +2,18 @@
 
 import logging
 import signal
-import sys
-from pathlib import Path
 
 import anyio
-import cyclopts
 
-from berylchute import __version__, logs
 from berylchute.endpoints import Endpoints
-from berylchute.exceptions import ConfigError, SettingsError
+from berylchute.exceptions import ConfigError
 from berylchute.httpserver import Server, make_server
 from berylchute.identity import OperatorDirectory
 from berylchute.locator import Locator, LocatorApp
 from berylchute.metrics import Metrics
 from berylchute.node import ConfigurationInForce, Node
-from berylchute.settings import Settings, load
+from berylchute.program import run_command_line
+from berylchute.settings import Settings
 from berylchute.types import StoredObject
 
 __all__ = ["LocatorProgram", "main"]
@@ -93,35 +90,9 @@
         server.should_exit = True
 
 
-app = cyclopts.App(name="berylchute-locator", version=__version__, help=__doc__)
-
-
-@app.default
-def run(*, settings: Path, check: bool = False) -> None:
-    """Run the locator program.
-
-    Parameters
-    ----------
-    settings
-        TOML settings file of this process.
-    check
-        Check the settings and exit.
-    """
-    try:
-        loaded = load(settings)
-    except SettingsError as error:
-        print(error, file=sys.stderr)
-        raise SystemExit(2) from error
-    if check:
-        print(f"{settings}: ok")
-        return
-    logs.configure(loaded.log)
-    anyio.run(LocatorProgram(loaded).serve)
-
-
 def main() -> None:
     """Run the command line."""
-    app()
+    run_command_line("berylchute-locator", "Tell callers which entry hosts to use.", LocatorProgram)
 
 
 if __name__ == "__main__":
--- a/berylchute/settings.py
+++ b/berylchute/settings.py
@@ -1,5 +1,6 @@
 """Load and check the settings file of a process."""
 
+import ipaddress
 import tomllib
 from pathlib import Path
 from typing import Any, TypeVar
@@ -14,6 +15,9 @@
 
 T = TypeVar("T")
 
+CURVE_KEY_CHARACTERS = 40
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+
 
 @attrs.frozen
 class HostSettings:
@@ -137,9 +141,54 @@
         raise SettingsError(f"{path}: {error}") from error
 
 
+def _check_address(key: str, address: str) -> bool:
+    """Return whether an address `ip:port` is on loopback; raise SettingsError if it is none."""
+    host, _, port = address.rpartition(":")
+    try:
+        ip = ipaddress.ip_address(host.strip("[]"))
+        valid = 0 < int(port) < 65536
+    except ValueError:
+        valid = False
+    if not valid:
+        raise SettingsError(f"{key}: not an address: {address!r}; allowed: ip:port")
+    return ip.is_loopback
+
+
+def _check_values(settings: Settings) -> None:
+    _check_address("listen.http", settings.listen.http)
+    is_local = _check_address("listen.peers", settings.listen.peers)
+    for seed in settings.peers.seeds:
+        _check_address("peers.seeds", seed)
+    keys = (settings.peers.curve_public_key, settings.peers.curve_secret_key)
+    if not is_local and any(len(key) != CURVE_KEY_CHARACTERS for key in keys):
+        raise SettingsError(
+            "peers.curve_secret_key: needed with curve_public_key when listen.peers leaves "
+            f"loopback; allowed: Z85 keys of {CURVE_KEY_CHARACTERS} characters"
+        )
+    if bool(settings.tls.certificate_file) != bool(settings.tls.key_file):
+        raise SettingsError("tls.key_file: certificate_file and key_file go together")
+    for key, value in (
+        ("store.timeout_ms", settings.store.timeout_ms),
+        ("store.watch_wait_ms", settings.store.watch_wait_ms),
+        ("store.calls_per_s", settings.store.calls_per_s),
+        ("limits.header_bytes_max", settings.limits.header_bytes_max),
+        ("limits.body_bytes_max", settings.limits.body_bytes_max),
+        ("limits.shutdown_timeout_ms", settings.limits.shutdown_timeout_ms),
+    ):
+        if value <= 0:
+            raise SettingsError(f"{key}: {value}; allowed: above 0")
+    if settings.log.level not in LOG_LEVELS:
+        raise SettingsError(f"log.level: {settings.log.level!r}; allowed: {', '.join(LOG_LEVELS)}")
+
+
 def load(path: Path) -> Settings:
     """Return a process's settings; raise SettingsError with file, key and reason."""
-    return _load(path, Settings)
+    settings = _load(path, Settings)
+    try:
+        _check_values(settings)
+    except SettingsError as error:
+        raise SettingsError(f"{path}: {error}") from error
+    return settings
 
 
 def load_client(path: Path) -> ClientSettings:
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -61,6 +61,9 @@
     for old, new, expected in (
         ("timeout_ms = 1000", 'timeout_ms = "1 s"', "store.timeout_ms"),
         ("timeout_ms = 1000", "timeout_s = 1", "store.timeout_s"),
+        ('http = "10.10.1.11:8100"', 'http = "entry.example:8100"', "listen.http"),
+        ('curve_secret_key = "', 'curve_secret_key = "x', "peers.curve_secret_key"),
+        ('level = "INFO"', 'level = "LOUD"', "log.level"),
     ):
         file.write_text(text.replace(old, new))
         try:
