Let leaving members relay when a zone has no others

The membership state machine failed in the whole test suite, where hypothesis draws other examples than alone: in a zone whose members all leave or died, nobody was a relay, so that its leaving hosts and the other zones took each other for gone. Leaving members are relays now while no live one is left.

--- a/berylchute/roster.py
+++ b/berylchute/roster.py
@@ -120,6 +120,10 @@
             if member.state in (MemberState.LIVE, MemberState.SUSPECT):
                 chosen.append(member)
                 live += member.state is MemberState.LIVE
+        if zone and not live:
+            # Members that leave still finish requests and need the view of the fleet.
+            leaving = MemberState.LEAVING
+            chosen += [member for member in zone.members.values() if member.state is leaving]
         return chosen
 
     def is_monitored(self, member: Member) -> bool:
