Borrow units of all servers and regions that could take waiting work

Cause: demand was noted for the single best server of the preferred region, so that a busy host reached 10% of the unused capacity in the lending scenario; none was noted when a request went elsewhere, so that a shift never got units in its target region; and the first in the queue compared only its own wait with the longer way, so that units of other regions idled. Change: demand is a random sample of servers, half of them of the preferred region; the wait that is compared is that of the last in the queue.

--- a/berylchute/dispatch.py
+++ b/berylchute/dispatch.py
@@ -1,10 +1,11 @@
 """Place attempts on backend servers: queue, route, and take units of every capped resource."""
 
 import heapq
+import math
 import random
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Mapping
-from typing import Any, TypeAlias
+from typing import Any
 
 import anyio
 import attrs
@@ -18,7 +19,7 @@
 from berylchute.refusals import RefusalCode, RefusedError
 from berylchute.routing import Candidate, Route, RouteAction, Router, RouteRequest
 from berylchute.tracing import QUEUE, SLOT
-from berylchute.types import CapacityLedger, Clock, Hold, ResourceId, ResourceUnits
+from berylchute.types import CapacityLedger, Clock, Hold, ResourceId
 from berylchute.work import AttemptEnd, Placement, Work, split_address
 
 __all__ = ["CapacityPlacer", "HeldPlacement"]
@@ -28,8 +29,6 @@
 # A server counts the deadline from the arrival of the request, so that it may work this much longer
 # than the host waits. Without it an overload run showed servers above their slots.
 HOLD_MARGIN_S = 0.25
-# Wanted servers remembered per need, so that demand spreads over them.
-WANTED_KEPT = 8
 _REFUSALS: Mapping[RefusalReason, tuple[RefusalCode, str]] = {
     RefusalReason.QUEUE_FULL: (RefusalCode.QUEUE_FULL, "the queue of the service is full"),
     RefusalReason.DEADLINE_UNREACHABLE: (
@@ -40,9 +39,6 @@
 }
 
 
-Units: TypeAlias = tuple[ResourceUnits, ...]
-
-
 @attrs.frozen
 class _Need:
     """Requests with the same need can use the same units."""
@@ -100,7 +96,6 @@
         self._targets: dict[str, ServerTarget] = {}
         self._abandoned: list[tuple[float, int, HeldPlacement]] = []
         self._waiting: Counter[_Need] = Counter()
-        self._wanted: dict[_Need, deque[Units]] = {}
         self._noted_s = 0.0
 
     def configure(
@@ -183,17 +178,15 @@
             self._note_waiting(now_s)
 
     def _note_waiting(self, now_s: float) -> None:
-        """Note the demand of each waiting request once per tick of lending.
-
-        Routing every one of them again would cost more than the tick; the last wanted servers
-        of their kind of need stand for all.
-        """
-        for number, waiter in enumerate(self._waiters.values()):
-            wanted = self._wanted.get(_need(waiter.work))
-            if wanted and waiter.placement is None:
-                units = wanted[number % len(wanted)]
-                until_s = waiter.work.deadline_s + HOLD_MARGIN_S
-                self._ledger.note_demand(units, until_s, now_s)
+        """Note the demand of each waiting request once per tick of lending."""
+        for waiter in self._waiters.values():
+            if waiter.placement is None:
+                self._note_demand(waiter.work, now_s)
+
+    def _note_demand(self, work: Work, now_s: float, region: str = "") -> None:
+        units = self._router.sample_wanted(work.caller.plan, work.kind.service, self._rng, region)
+        if units:
+            self._ledger.note_demand(units, work.deadline_s + HOLD_MARGIN_S, now_s)
 
     async def run(self) -> None:
         """Tick until cancelled."""
@@ -292,7 +285,6 @@
         until_s = work.deadline_s + HOLD_MARGIN_S
         service = work.kind.service
         queue = self._queues[service]
-        is_waiting = len(queue) > 0
         request = RouteRequest(
             plan=work.caller.plan,
             service=service,
@@ -300,7 +292,7 @@
             until_s=until_s,
             request_bytes=work.body_bytes,
             answer_bytes=work.answer_bytes,
-            expected_wait_s=queue.expected_wait_s(work.deadline_s, now_s) if is_waiting else 0.0,
+            expected_wait_s=_whole_wait_s(queue, work, now_s),
             lower_plans_queued=queue.count_lower_plans(queued) if queued is not None else 0,
             may_move=may_move,
             excluded=excluded,
@@ -313,6 +305,10 @@
             hold = self._ledger.try_acquire(candidate.units, until_s, now_s)
             if hold is not None:
                 work.record.routes.append(route)
+                preferred = route.wanted.target.region if route.wanted is not None else ""
+                if preferred not in ("", candidate.target.region):
+                    # A preferred region without units would stay so: a shift could never start.
+                    self._note_demand(work, now_s, preferred)
                 return self._hold(work, candidate, hold, now_s)
         if is_extra:
             return None
@@ -324,13 +320,8 @@
         if route.action is RouteAction.NONE_ALLOWED:
             work.record.routes.append(route)
             raise RefusedError(RefusalCode.NO_ROUTE, "no backend server is allowed", not_run=True)
-        if route.wanted is not None:
-            need, units = _need(work), route.wanted.units
-            if need not in self._wanted:
-                self._wanted[need] = deque(maxlen=WANTED_KEPT)
-            self._wanted[need].append(units)
-            if queued is None:
-                self._ledger.note_demand(units, work.deadline_s + HOLD_MARGIN_S, now_s)
+        if route.wanted is not None and queued is None:
+            self._note_demand(work, now_s)
         if route.action is RouteAction.DISPLACE:
             self._queues[work.kind.service].displace(work.attempt_prefix)
 
@@ -370,3 +361,15 @@
             self._observer.record_cancel(server, 0.0, now_s)
         else:
             self._observer.record_failure(server, now_s, was_sent=True)
+
+
+def _whole_wait_s(queue: AdmissionQueue, work: Work, now_s: float) -> float:
+    """Return the expected wait of the last in the queue.
+
+    A request that moves to another region shortens the wait of all behind it. With the own wait
+    in its place the first in the queue always waited, and free units of other regions idled.
+    """
+    if not len(queue):
+        return 0.0
+    # The rate is unknown until some have started; waiting for it would leave units idle.
+    return queue.expected_wait_s(math.inf, now_s) or work.deadline_s - now_s
--- a/berylchute/routing.py
+++ b/berylchute/routing.py
@@ -22,7 +22,7 @@
     WaitFirst,
 )
 from berylchute.topology import IndexedRegion, IndexedServer, IndexedZone, compile_index
-from berylchute.types import ResourceId
+from berylchute.types import ResourceId, ResourceUnits
 
 __all__ = [
     "Candidate",
@@ -49,6 +49,8 @@
 REGIONS_COMPARED_MAX = 3
 # Servers examined per region; bounds a decision when most servers are full.
 PROBES_MAX = 8
+# Share of sampled demand that is for the preferred region while others may be used as well.
+PREFERRED_SAMPLES = 0.5
 # Ranks a server that should get less than its share after all others.
 LOW_WEIGHT_COST_S = 1.0
 # After this many failed attempts a request leaves its region, which may be lost as a whole.
@@ -159,6 +161,31 @@
             return _next_route(elsewhere, others)
         return self._leave_full(request, first, others, elsewhere, now_s)
 
+    def sample_wanted(
+        self, plan: str, service: str, rng: random.Random, region_name: str = ""
+    ) -> tuple[ResourceUnits, ...]:
+        """Return the units of a random server that a request without free units could use.
+
+        Half of the samples are of the preferred region and half of the others, or all of
+        `region_name`. Always asking for the best server would borrow the units of that one only.
+        """
+        regions = self._index.get((plan, service), ())
+        preferred, _ = self._prefer(regions, service, rng)
+        is_draining = self._drains.is_draining
+        others = [r for r in regions if r is not preferred and not is_draining("region", r.name)]
+        region = preferred
+        if region_name:
+            region = next((r for r in regions if r.name == region_name), None)
+        elif others and rng.random() >= PREFERRED_SAMPLES:
+            region = rng.choice(others)
+        if region is None:
+            return ()
+        zone = rng.choice((*region.near_zones, *region.zones))
+        server = rng.choice(rng.choice(zone.groups))
+        if is_draining("server", server.name) or is_draining("availability_zone", zone.name):
+            return ()
+        return (server.units, server.region_units, region.plan_units)
+
     def _is_slow(self, ranked: _Ranked) -> bool:
         """Return whether a better server may be found farther away."""
         best = ranked.free[0]
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -208,3 +208,12 @@
     assert [NextRegionFirst().choose(s) for s in states] == [move, move, move, wait]
     assert [QuickerFirst().choose(s) for s in states] == [wait, move, move, wait]
     assert [DisplaceFirst().choose(s) for s in states] == [wait, displace, move, wait]
+
+
+def test_sampled_demand_reaches_every_usable_server() -> None:
+    """Guards against demand for one server only, which left idle units of others unborrowed."""
+    router, rng = make_router(Views(draining={("server", SALDO[0])})), random.Random(1)
+    samples = [router.sample_wanted("socio", "saldo", rng) for _ in range(2000)]
+    assert {units[0].resource for units in samples if units} == {f"server:{s}" for s in SALDO[1:]}
+    only = [router.sample_wanted("socio", "saldo", rng, "verapaz") for _ in range(50)]
+    assert {units[1].resource for units in only} == {"region:verapaz"}
