--- a/lab/processes.py
+++ b/lab/processes.py
@@ -1,6 +1,7 @@
 """Child processes, free ports and single HTTP calls for the launcher and the scenarios."""
 
 import os
+import random
 import socket
 import subprocess
 import time
@@ -15,14 +16,26 @@
 __all__ = ["Process", "call", "call_json", "free_ports", "wait_until"]
 
 
+# Below the range from which the kernel takes ports of outgoing connections: a port chosen there
+# was taken by a connection before its process listened on it.
+LISTEN_PORTS = range(12_000, 32_000)
+_given: set[int] = set()
+
+
 def free_ports(count: int) -> list[int]:
-    """Return distinct free loopback ports."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [int(item.getsockname()[1]) for item in sockets]
-    for item in sockets:
-        item.close()
+    """Return loopback ports that nothing listens on and that were not returned before."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.choice(LISTEN_PORTS)
+        if port in _given:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given.add(port)
+        ports.append(port)
     return ports
 
 
