Stop load processes that outlast their time limit

Cause: a load process that hung was no longer listed, so it outlived its deployment and kept one core busy until it was ended by hand. Change: a load process leaves the list only after it ended.

--- a/lab/workload.py
+++ b/lab/workload.py
@@ -144,8 +144,10 @@
         """Wait for the processes and return their results as one."""
         results = []
         for spec in self.specs:
-            process = self.deployment.processes.pop(spec.name)
+            process = self.deployment.processes[spec.name]
             process.popen.wait(spec.duration_s + 120)
+            # Taken out only once it ended, so that a hung process is still stopped with the rest.
+            del self.deployment.processes[spec.name]
             output = self.deployment.path / f"{spec.name}.out"
             if not output.exists():
                 raise RuntimeError(f"load process {spec.name} failed:\n{process.log_tail()}")
