--- a/berylchute/borrowing.py
+++ b/berylchute/borrowing.py
@@ -21,6 +21,7 @@
 ANSWER_MARGIN_S = 0.1
 TRIES_MAX = 3
 IDLE_WINDOW_S = 0.5
+SWEEP_S = 1.0
 
 
 def loan_term_s(horizon_s: float) -> float:
@@ -96,6 +97,7 @@
         self._refused_until_s: dict[tuple[Position, ResourceId], float] = {}
         self._silent_until_s: dict[Position, float] = {}
         self._counter = 0
+        self._next_sweep_s = float("-inf")
         self.is_leaving = False
 
     def set_peers(self, peers: Sequence[Peer]) -> None:
@@ -118,16 +120,30 @@
         """Return the messages due: repeats, returns, renewals and new requests."""
         outgoing: list[Outgoing] = []
         for loan_id, ask in list(self._asks.items()):
-            if ask.is_pending:
-                outgoing += self._retry(ask, now_s)
-            elif ask.granted and not ask.closed:
+            # Closed asks are most of them: refusals are remembered for a whole term.
+            if ask.closed:
+                continue
+            if ask.granted:
                 outgoing += self._maintain(loan_id, ask, now_s)
-            if now_s > max(ask.asked_s + ask.term_s, ask.expires_s):
-                del self._asks[loan_id]
+            else:
+                outgoing += self._retry(ask, now_s)
+        if now_s >= self._next_sweep_s:
+            self._next_sweep_s = now_s + SWEEP_S
+            self._forget_ended(now_s)
         if not self.is_leaving:
             outgoing += self._ask(now_s)
         return outgoing
 
+    def _forget_ended(self, now_s: float) -> None:
+        """Forget asks whose loans are over on both sides."""
+        ended = [
+            loan_id
+            for loan_id, ask in self._asks.items()
+            if now_s > max(ask.asked_s + ask.term_s, ask.expires_s)
+        ]
+        for loan_id in ended:
+            del self._asks[loan_id]
+
     def handle_grant(self, grant: LoanGrant, now_s: float) -> list[Outgoing]:
         """Use a granted loan until its term after the ask; answer useless grants by a return."""
         ask = self._asks.get(grant.loan_id)
