--- a/berylchute/metrics.py
+++ b/berylchute/metrics.py
@@ -107,19 +107,13 @@
         self.idempotency_records = self._gauge(
             "berylchute_idempotency_records_count", "Idempotency records that this host keeps."
         )
-        self.stage_seconds = Histogram(
-            "berylchute_stage_seconds",
-            "Time of requests in each stage.",
-            ("kind", "stage"),
-            buckets=_BUCKETS_S,
-            registry=self.registry,
+        self.stage_seconds = self._histogram(
+            "berylchute_stage_seconds", "Time of requests in each stage.", ("kind", "stage")
         )
-        self.request_seconds = Histogram(
+        self.request_seconds = self._histogram(
             "berylchute_request_seconds",
             "Time from the arrival of a request to the end of its answer.",
             ("kind",),
-            buckets=_BUCKETS_S,
-            registry=self.registry,
         )
         # Label look-ups cost more than the updates, so the children are kept per kind.
         self._stages: dict[str, tuple[Histogram, ...]] = {}
@@ -132,6 +126,9 @@
     def _gauge(self, name: str, meaning: str) -> Gauge:
         return Gauge(name, meaning, registry=self.registry)
 
+    def _histogram(self, name: str, meaning: str, labels: tuple[str, ...]) -> Histogram:
+        return Histogram(name, meaning, labels, buckets=_BUCKETS_S, registry=self.registry)
+
     def take(self, record: RequestRecord) -> None:
         """Count one finished request."""
         labels = (record.service, record.kind, record.outcome)
