Run an edge program on the platform through an adapter

Cause: the entry program knows plans and bearer tokens, the platform has routes, registered servers and an affinity key; the product lacked a request path for them. Ruled out: the entry program over translated plans (claims of positions and lent slots need a base share after each start).

--- /dev/null
+++ b/berylchute/backends.py
@@ -0,0 +1,229 @@
+"""Track the registered backend servers: who may receive work, and how loaded each is."""
+
+import math
+from collections.abc import Iterable, Mapping, Sequence
+from hashlib import blake2b
+
+import attrs
+
+from berylchute.services import RouteTable, ServerEntry, ServerList, ServicePolicy
+from berylchute.types import Clock
+from berylchute.upstream import ConnectionPool
+
+__all__ = ["Backends", "Server", "ToldLoad"]
+
+# Load that a server told loses its weight over this time: work of that age has mostly ended.
+TOLD_FADES_S = 0.6
+# A server that failed is left alone for this long, doubled with each further failure.
+FAILURE_PAUSE_S = 0.3
+FAILURE_PAUSE_MAX_S = 3.0
+# Distinct keys whose server order is kept; more keys only cost hashing.
+ORDERS_KEPT_MAX = 4096
+# Share of a cold server's rate that its one sender uses; two senders may overlap for a moment.
+COLD_RATE_SHARE = 0.7
+# Used until the configuration names the service.
+CONNECTIONS_DEFAULT = 64
+# Senders that may use one server's connections at once beyond an even split.
+CONNECTIONS_SPREAD = 4
+
+
+@attrs.frozen
+class ToldLoad:
+    """What a server said of its load; `pace` is its work time in percent of the usual."""
+
+    running: int
+    waiting: int
+    slots: int
+    pace: int = 100
+
+
+@attrs.define(eq=False)
+class Server:
+    """One registered server with what this process knows of it."""
+
+    entry: ServerEntry
+    pool: ConnectionPool
+    cold_until_s: float = 0.0
+    in_flight: int = 0
+    told: ToldLoad | None = None
+    told_s: float = -math.inf
+    told_in_flight: int = 0
+    failures: int = 0
+    paused_until_s: float = 0.0
+    is_replaced: bool = False
+    next_cold_send_s: float = 0.0
+
+    def load(self, now_s: float) -> float:
+        """Estimate the requests at the server: own ones and what others had there."""
+        if self.told is None:
+            return self.in_flight
+        others = self.told.running + self.told.waiting - self.told_in_flight
+        weight = max(0.0, 1.0 - (now_s - self.told_s) / TOLD_FADES_S)
+        return self.in_flight + max(0.0, others) * weight
+
+    def pace(self, now_s: float, age_max_s: float) -> int:
+        """Return the told pace in percent if it is at most `age_max_s` old, else the usual."""
+        if self.told is None or now_s - self.told_s > age_max_s:
+            return 100
+        return self.told.pace
+
+    def note_load(self, told: ToldLoad, now_s: float) -> None:
+        """Take the load that came with an answer."""
+        self.told, self.told_s, self.told_in_flight = told, now_s, self.in_flight
+
+    def note_success(self) -> None:
+        """Forget earlier failures."""
+        self.failures = 0
+        self.paused_until_s = 0.0
+
+    def note_failure(self, now_s: float) -> None:
+        """Leave the server alone for a while."""
+        pause_s = min(FAILURE_PAUSE_MAX_S, FAILURE_PAUSE_S * 2.0**self.failures)
+        self.failures += 1
+        self.paused_until_s = now_s + pause_s
+
+    def is_cold(self, now_s: float) -> bool:
+        """Tell whether the server bears only its cold rate."""
+        return now_s < self.cold_until_s
+
+
+class Backends:
+    """Hold all servers by service, and order them for an affinity key."""
+
+    def __init__(self, clock: Clock, wall_minus_clock_s: float) -> None:
+        self._clock = clock
+        self._wall_minus_clock_s = wall_minus_clock_s
+        self._servers: dict[str, Server] = {}
+        self._by_service: dict[str, tuple[Server, ...]] = {}
+        self._orders: dict[tuple[str, str], tuple[Server, ...]] = {}
+        self._policies: dict[str, ServicePolicy] = {}
+        self._drained_zones: frozenset[str] = frozenset()
+        self._known_since_s: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._servers)
+
+    def configure(self, table: RouteTable) -> None:
+        """Take what the servers of each service bear."""
+        self._policies = {policy.name: policy for policy in table.services}
+
+    def policy(self, service: str) -> ServicePolicy | None:
+        """Return what the servers of a service bear."""
+        return self._policies.get(service)
+
+    def apply(self, servers: ServerList) -> None:
+        """Take the list of registered servers; those that are missing are gone."""
+        kept: dict[str, Server] = {}
+        for entry in servers.entries:
+            server = self._servers.get(entry.server_id)
+            if server is None or _is_other_process(server.entry, entry):
+                if server is not None:
+                    _retire(server)
+                server = self._add(entry)
+            server.entry = entry
+            if entry.cold_until_ms:
+                server.cold_until_s = max(
+                    server.cold_until_s, entry.cold_until_ms / 1000.0 - self._wall_minus_clock_s
+                )
+            kept[entry.server_id] = server
+        for server_id, server in self._servers.items():
+            if server_id not in kept:
+                _retire(server)
+        self._servers = kept
+        self._index()
+
+    def drain_zones(self, availability_zones: Iterable[str]) -> tuple[str, ...]:
+        """Set the zones that receive nothing; return those that were taken back.
+
+        The servers of a zone that is taken back count as cold, since an entry may tell it late.
+        """
+        drained = frozenset(availability_zones)
+        returned = tuple(sorted(self._drained_zones - drained))
+        self._drained_zones = drained
+        now_s = self._clock.now_s()
+        for server in self._servers.values():
+            if server.entry.availability_zone in returned:
+                policy = self._policies.get(server.entry.service)
+                warmup_s = policy.warmup_s if policy else 0.0
+                server.cold_until_s = max(server.cold_until_s, now_s + warmup_s)
+        return returned
+
+    def is_open(self, server: Server) -> bool:
+        """Tell whether a server may receive new work at all."""
+        return (
+            not server.entry.is_draining
+            and not server.is_replaced
+            and server.entry.availability_zone not in self._drained_zones
+        )
+
+    def of_service(self, service: str) -> Sequence[Server]:
+        """Return the servers of a service."""
+        return self._by_service.get(service, ())
+
+    def order(self, service: str, key: str) -> Sequence[Server]:
+        """Return the servers of a service in the order in which a key prefers them."""
+        order = self._orders.get((service, key))
+        if order is None:
+            if len(self._orders) >= ORDERS_KEPT_MAX:
+                self._orders.clear()
+            servers = self._by_service.get(service, ())
+            order = tuple(sorted(servers, key=lambda server: _weight(key, server), reverse=True))
+            self._orders[service, key] = order
+        return order
+
+    def note_back(self, server: Server, now_s: float) -> None:
+        """Take a server that answers again after failures; it may have restarted cold."""
+        policy = self._policies.get(server.entry.service)
+        if policy is not None:
+            server.cold_until_s = max(server.cold_until_s, now_s + policy.warmup_s)
+
+    def take_cold_send(self, server: Server, now_s: float) -> bool:
+        """Reserve one request to a cold server; tell whether its rate allows it."""
+        if now_s < server.next_cold_send_s:
+            return False
+        policy = self._policies.get(server.entry.service)
+        rate_per_s = policy.cold_rate_per_s * COLD_RATE_SHARE if policy else 1.0
+        server.next_cold_send_s = now_s + 1.0 / max(rate_per_s, 0.1)
+        return True
+
+    def close_expired(self) -> None:
+        """Close kept connections that servers are about to close."""
+        for server in self._servers.values():
+            server.pool.close_expired()
+
+    def loads(self) -> Mapping[str, float]:
+        """Return the estimated requests at each service's servers."""
+        now_s = self._clock.now_s()
+        return {
+            service: sum(server.load(now_s) for server in servers)
+            for service, servers in self._by_service.items()
+        }
+
+    def _add(self, entry: ServerEntry) -> Server:
+        policy = self._policies.get(entry.service)
+        connections_max = (
+            max(CONNECTIONS_SPREAD, policy.connections_max // CONNECTIONS_SPREAD)
+            if policy
+            else CONNECTIONS_DEFAULT
+        )
+        return Server(entry, ConnectionPool(entry.address, self._clock, connections_max))
+
+    def _index(self) -> None:
+        by_service: dict[str, list[Server]] = {}
+        for server in self._servers.values():
+            by_service.setdefault(server.entry.service, []).append(server)
+        self._by_service = {service: tuple(servers) for service, servers in by_service.items()}
+        self._orders.clear()
+
+
+def _is_other_process(old: ServerEntry, new: ServerEntry) -> bool:
+    return (old.address, old.started_ms, old.service) != (new.address, new.started_ms, new.service)
+
+
+def _retire(server: Server) -> None:
+    server.is_replaced = True
+    server.pool.close()
+
+
+def _weight(key: str, server: Server) -> bytes:
+    return blake2b(f"{key}/{server.entry.server_id}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/berylchute/edge.py
@@ -0,0 +1,304 @@
+"""Compose and run the edge program: carry callers' requests by routes to registered servers."""
+
+import logging
+import signal
+import time
+from collections.abc import Callable, Mapping, Sequence
+from hashlib import blake2b
+from random import Random
+
+import anyio
+import attrs
+
+from berylchute import __version__
+from berylchute.backends import Backends
+from berylchute.background import Background
+from berylchute.callers import Answer, CallerServer, Pending
+from berylchute.collection import Collection, CollectionFeed, CollectionStore
+from berylchute.dialect import Dialect
+from berylchute.directory import Directory
+from berylchute.edgemetrics import EdgeMetrics
+from berylchute.eventlog import EventLog
+from berylchute.exceptions import ConfigError
+from berylchute.node import BootClock, Node
+from berylchute.retrybudget import RetryBounds
+from berylchute.routebook import RouteBook
+from berylchute.selection import Selector
+from berylchute.services import SHARED_KEYS, RouteTable, ServerList, ZoneDrains, decode
+from berylchute.settings import Settings
+from berylchute.steering import Steering
+from berylchute.types import MemberState, MemberStatus, StoredObject
+
+__all__ = ["Edge", "EdgeSettings"]
+
+REPORT_S = 0.25
+LOG_FLUSH_S = 0.2
+# Members that follow the store and tell the others; more survive cuts, each costs calls.
+WATCHERS = 4
+# After the stop signal, callers are still served as before for this long, until most have asked
+# the directory again.
+STOP_CLOSE_DELAY_S = 1.0
+# Then kept connections are closed after each answer, and from here on no new ones are taken.
+STOP_LISTEN_S = 3.5
+STOP_POLL_S = 0.05
+# Time left for the exit itself.
+STOP_MARGIN_S = 0.4
+
+logger = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class EdgeSettings:
+    """All settings of the edge program; `grace_s` is the time from stop signal to kill."""
+
+    node: Settings
+    zone_regions: Mapping[str, str]
+    retries: RetryBounds
+    grace_s: float
+    metrics: str = ""
+    dialect: Dialect = Dialect()
+
+
+class Edge:
+    """Wire the parts of the edge program and run its tasks."""
+
+    def __init__(
+        self,
+        settings: EdgeSettings,
+        store: CollectionStore,
+        collections: Sequence[Collection],
+    ) -> None:
+        self._settings = settings
+        self._clock = BootClock()
+        self._rng = Random()
+        host = settings.node.host.host_id
+        self._log = EventLog(1, host)
+        self._node = Node(
+            settings.node, "edge", store=None, clock=self._clock, object_keys=SHARED_KEYS
+        )
+        self._routes = RouteBook()
+        self._backends = Backends(self._clock, time.time() - self._clock.now_s())
+        self._directory = Directory()
+        self._background = Background()
+        self._metrics = EdgeMetrics()
+        self._feeds = [
+            CollectionFeed(
+                collection, store, self._clock, self._rng, self._receive, self._is_watch_wanted
+            )
+            for collection in collections
+        ]
+        self._steering = Steering(
+            dialect=settings.dialect,
+            routes=self._routes,
+            backends=self._backends,
+            selector=Selector(self._backends, self._is_cold_sender),
+            background=self._background,
+            clock=self._clock,
+            rng=self._rng,
+            log=self._log,
+            metrics=self._metrics,
+            bounds=settings.retries,
+            member_count=lambda: len(self._node.members.statuses()),
+            region_of_zone=lambda zone: settings.zone_regions.get(zone, ""),
+        )
+        self._callers = CallerServer(self._steering.handle, self._clock, settings.dialect)
+        self._servers = {settings.node.listen.http: self._callers}
+        self._is_stopping = False
+        self._members: Sequence[MemberStatus] = ()
+        self._add_gauges()
+        if settings.metrics:
+            self.listen(settings.metrics, self._answer_metrics)
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return self._routes.table is not None and len(self._backends) > 0 and not self._is_stopping
+
+    @property
+    def directory(self) -> Directory:
+        """Return the directory of the members that take callers."""
+        return self._directory
+
+    def homes(self, host: str) -> frozenset[str]:
+        """Return the regions to which routes of a host name are bound."""
+        return self._routes.homes(host)
+
+    def listen(self, address: str, handle: Callable[[Pending], None]) -> None:
+        """Serve other requests on `ip:port`; call before `serve`."""
+        self._servers[address] = CallerServer(handle, self._clock, self._settings.dialect)
+
+    async def serve(self) -> None:
+        """Serve until SIGTERM or SIGINT, then finish the requests in flight."""
+        logging.getLogger().handlers[:] = [self._log]
+        logging.getLogger().setLevel(self._settings.node.log.level)
+        self._log.event("start", version=__version__, callers=self._settings.node.listen.http)
+        async with anyio.create_task_group() as tasks, self._background as background:
+            await tasks.start(self._node.run)
+            for feed in self._feeds:
+                background.start(feed.run)
+            for address, server in self._servers.items():
+                await server.start(address)
+                background.start(server.sweep_forever)
+            background.start(self._follow_objects)
+            background.start(self._report_forever)
+            background.start(self._flush_forever)
+            background.start(self._reload_on_signal)
+            await self._wait_for_stop()
+            await self._stop()
+            tasks.cancel_scope.cancel()
+        self._log.event("stop", in_flight=self._steering.in_flight)
+        self._log.flush()
+
+    async def _follow_objects(self) -> None:
+        async for stored in self._node.subscribe_objects(*SHARED_KEYS):
+            current = self._node.objects.get(stored.key) or stored
+            try:
+                self._take(current)
+            except ConfigError as error:
+                self._log.event("object_rejected", key=stored.key, reason=str(error))
+
+    def _take(self, stored: StoredObject) -> None:
+        value = decode(stored.key, stored.value)
+        if isinstance(value, RouteTable):
+            newer = self._routes.replace(value)
+            if newer:
+                self._backends.configure(value)
+                self._callers.limits = value.limits
+            self._log.event("routes", number=value.number, version=stored.version, newer=newer)
+        elif isinstance(value, ServerList):
+            self._backends.apply(value)
+            self._log.event("servers", count=len(value.entries), version=stored.version)
+        elif isinstance(value, ZoneDrains):
+            returned = self._backends.drain_zones(value.availability_zones)
+            self._log.event(
+                "zone_drains",
+                zones=value.availability_zones,
+                returned=returned,
+                version=stored.version,
+            )
+
+    def _receive(self, stored: StoredObject) -> None:
+        self._node.receive_object(stored)
+
+    def _is_watch_wanted(self) -> bool:
+        """Tell whether fewer than WATCHERS members that come before this one follow the store."""
+        own = self._node.record.host_id
+        rank = _weight("watch", own)
+        before = (
+            status
+            for status in self._node.members.statuses()
+            if status.state is MemberState.LIVE
+            and status.record.watching
+            and status.record.host_id != own
+            and _weight("watch", status.record.host_id) > rank
+        )
+        return sum(1 for _ in before) < WATCHERS
+
+    def _is_cold_sender(self, server_id: str) -> bool:
+        """Tell whether this member is the one that sends to a cold server."""
+        live = [
+            status.record.host_id
+            for status in self._node.members.statuses()
+            if status.state is MemberState.LIVE and not status.record.leaving
+        ]
+        own = self._node.record.host_id
+        return max(live, key=lambda host_id: _weight(server_id, host_id), default=own) == own
+
+    async def _report_forever(self) -> None:
+        is_ready = is_watching = False
+        while True:
+            statuses = self._node.members.statuses()
+            self._log_members(statuses)
+            self._directory.update(statuses)
+            self._backends.close_expired()
+            if self.is_ready is not is_ready:
+                is_ready = not is_ready
+                self._node.set_ready(is_ready)
+                self._log.event("ready", ready=is_ready)
+            watching = all(feed.is_in_touch for feed in self._feeds)
+            if watching is not is_watching:
+                is_watching = watching
+                self._node.set_watching(is_watching)
+                self._log.event("store_watch", watching=is_watching)
+            await anyio.sleep(REPORT_S)
+
+    def _log_members(self, statuses: Sequence[MemberStatus]) -> None:
+        if statuses is self._members:
+            return
+        before = {status.record.host_id: status.state for status in self._members}
+        self._members = statuses
+        for status in statuses:
+            if before.get(status.record.host_id) is not status.state:
+                self._log.event("member", member=status.record.host_id, state=status.state)
+
+    async def _flush_forever(self) -> None:
+        while True:
+            await anyio.sleep(LOG_FLUSH_S)
+            self._log.flush()
+
+    async def _reload_on_signal(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGHUP) as signals:
+            async for _ in signals:
+                self._log.event("reload", changed=False)
+
+    async def _wait_for_stop(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                return
+
+    async def _stop(self) -> None:
+        """Leave the directory, finish what runs, and close connections as callers turn away."""
+        started_s = self._clock.now_s()
+        self._is_stopping = True
+        self._log.event("stopping", in_flight=self._steering.in_flight)
+        self._node.set_ready(False)
+        self._node.announce_leaving()
+        await anyio.sleep(STOP_CLOSE_DELAY_S)
+        self._callers.is_closing = True
+        limit_s = started_s + self._settings.grace_s - STOP_MARGIN_S
+        is_listening = True
+        while self._clock.now_s() < limit_s:
+            self._callers.close_idle()
+            elapsed_s = self._clock.now_s() - started_s
+            if is_listening and elapsed_s >= min(STOP_LISTEN_S, self._settings.grace_s / 2.0):
+                is_listening = False
+                self._callers.stop_listening()
+            if not is_listening and not self._callers.connections:
+                return
+            await anyio.sleep(STOP_POLL_S)
+
+    def _answer_metrics(self, pending: Pending) -> None:
+        headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
+        pending.respond(Answer(200, headers, self._metrics.render()))
+
+    def _add_gauges(self) -> None:
+        gauge = self._metrics.gauge
+        gauge(
+            "berylchute_edge_requests_in_flight_count",
+            "Requests that this process carries now.",
+            lambda: self._steering.in_flight,
+        )
+        gauge(
+            "berylchute_edge_routes_number",
+            "Number of the route table in force; 0 before one is known.",
+            lambda: self._routes.table.number if self._routes.table else 0,
+        )
+        gauge(
+            "berylchute_edge_servers_count",
+            "Backend servers known to this process.",
+            lambda: len(self._backends),
+        )
+        gauge(
+            "berylchute_edge_store_silence_seconds",
+            "Time since the store last answered this process.",
+            lambda: self._clock.now_s() - max(feed.answered_s for feed in self._feeds),
+        )
+        gauge(
+            "berylchute_edge_log_lines_dropped_count",
+            "Log lines dropped because the reader was behind or there were too many.",
+            lambda: self._log.dropped_full + self._log.dropped_rate,
+        )
+
+
+def _weight(key: str, host_id: str) -> bytes:
+    return blake2b(f"{key}/{host_id}".encode(), digest_size=8).digest()
--- a/berylchute/entry.py
+++ b/berylchute/entry.py
@@ -35,6 +35,7 @@
 from berylchute.routing import QuickerFirst, Router
 from berylchute.settings import Settings
 from berylchute.shares import base_shares, connection_shares
+from berylchute.store import HttpObjectStore
 from berylchute.tracing import RecentRequests, Tracer, TraceSink
 from berylchute.traffic import Traffic, headroom
 from berylchute.transfers import Transfers
@@ -62,7 +63,12 @@
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
         self._clock = MonotonicClock()
-        self._node = Node(settings, "entry", clock=self._clock)
+        self._node = Node(
+            settings,
+            "entry",
+            store=HttpObjectStore(settings.store, self._clock, random.Random()),
+            clock=self._clock,
+        )
         record = self._node.record
         self.state = GatewayState()
         self._is_stopping = False
--- a/berylchute/exceptions.py
+++ b/berylchute/exceptions.py
@@ -3,10 +3,14 @@
 from typing import ClassVar
 
 __all__ = [
+    "AnswerInvalid",
+    "AnswerLost",
     "BerylchuteError",
     "CommandError",
     "ConfigError",
     "ExchangeError",
+    "HistoryGone",
+    "NotSent",
     "PeerError",
     "RoutingError",
     "SettingsError",
@@ -67,6 +71,12 @@
         self.current_value = current_value
 
 
+class HistoryGone(StoreError):
+    """Report that the store no longer has the changes after a revision."""
+
+    code = "store_history_gone"
+
+
 class PeerError(BerylchuteError):
     """Report a message from or to a peer that cannot be handled."""
 
@@ -85,6 +95,24 @@
     code = "exchange_failed"
 
 
+class NotSent(ExchangeError):
+    """Report a request of which nothing was sent, so that it has not run."""
+
+    code = "not_sent"
+
+
+class AnswerLost(ExchangeError):
+    """Report a request that was sent and whose answer did not arrive; it may have run."""
+
+    code = "answer_lost"
+
+
+class AnswerInvalid(ExchangeError):
+    """Report bytes that are no answer to the request that was sent; it may have run."""
+
+    code = "answer_invalid"
+
+
 class CommandError(BerylchuteError):
     """Report a failed operator command."""
 
--- a/berylchute/locatord.py
+++ b/berylchute/locatord.py
@@ -2,6 +2,7 @@
 
 import logging
 import signal
+from random import Random
 
 import anyio
 
@@ -11,9 +12,10 @@
 from berylchute.identity import OperatorDirectory
 from berylchute.locator import Locator, LocatorApp
 from berylchute.metrics import Metrics
-from berylchute.node import ConfigurationInForce, Node
+from berylchute.node import ConfigurationInForce, MonotonicClock, Node
 from berylchute.program import run_command_line
 from berylchute.settings import Settings
+from berylchute.store import HttpObjectStore
 from berylchute.types import StoredObject
 
 __all__ = ["LocatorProgram", "main"]
@@ -28,7 +30,9 @@
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
-        self._node = Node(settings, "locator")
+        clock = MonotonicClock()
+        store = HttpObjectStore(settings.store, clock, Random())
+        self._node = Node(settings, "locator", store=store, clock=clock)
         self._locator = Locator()
         self._configured_version = 0
         self._leaving = False
--- a/berylchute/messages.py
+++ b/berylchute/messages.py
@@ -30,7 +30,10 @@
 
 @attrs.frozen
 class MemberRecord:
-    """What a member says of itself; a higher (incarnation, sequence) replaces a lower."""
+    """What a member says of itself; a higher (incarnation, sequence) replaces a lower.
+
+    `watching` tells that it follows the store and hears from it.
+    """
 
     host_id: str
     position: str
@@ -47,6 +50,7 @@
     settled_version: int
     config_version: int
     free_units: Mapping[str, int]
+    watching: bool = False
 
 
 @attrs.frozen
--- a/berylchute/node.py
+++ b/berylchute/node.py
@@ -15,15 +15,20 @@
 from berylchute.exceptions import ConfigError, StoreError
 from berylchute.membership import Membership, Outgoing
 from berylchute.messages import MemberRecord, Message
-from berylchute.objects import ObjectReplica
+from berylchute.objects import OBJECT_KEYS, ObjectReplica
 from berylchute.peers import PeerCounters, Peers
 from berylchute.replication import Replication
 from berylchute.settings import Settings
-from berylchute.store import HttpObjectStore
 from berylchute.types import Clock, MemberView, ObjectStore, PeerSender, StoredObject
 from berylchute.watch import ReadCall, StoreCall, WatchPlan
 
-__all__ = ["ConfigurationInForce", "MonotonicClock", "Node", "NodeCounts"]
+__all__ = [
+    "BootClock",
+    "ConfigurationInForce",
+    "MonotonicClock",
+    "Node",
+    "NodeCounts",
+]
 
 _LOG = logging.getLogger(__name__)
 _Item = TypeVar("_Item")
@@ -44,6 +49,14 @@
         return time.monotonic()
 
 
+class BootClock:
+    """Tell the time since the machine's start, which goes on while the machine is suspended."""
+
+    def now_s(self) -> float:
+        """Return seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 @attrs.frozen
 class ConfigurationInForce:
     """The configuration document that this process applies, and its store version."""
@@ -79,18 +92,20 @@
     def __init__(
         self,
         settings: Settings,
-        role: Literal["entry", "locator"],
+        role: Literal["entry", "locator", "edge"],
         *,
-        store: ObjectStore | None = None,
+        store: ObjectStore | None,
         clock: Clock | None = None,
         rng: Random | None = None,
+        object_keys: Sequence[str] = OBJECT_KEYS,
     ) -> None:
+        """Compose the tasks; without a store, objects arrive by `receive_object` and from peers."""
         self._settings = settings
         self._clock = clock or MonotonicClock()
         self._rng = rng or Random()
         self._started_s = self._clock.now_s()
-        self._store = store or HttpObjectStore(settings.store, self._clock, self._rng)
-        self._objects = ObjectReplica()
+        self._store = store
+        self._objects = ObjectReplica(object_keys)
         self._in_force: ConfigurationInForce | None = None
         self._object_subscriptions: list[_ObjectSubscription] = []
         self._message_subscriptions: dict[type, list[MemoryObjectSendStream[Message]]] = {}
@@ -110,6 +125,8 @@
     @property
     def store(self) -> ObjectStore:
         """Return the object store, for conditional updates."""
+        if self._store is None:
+            raise StoreError("this process has no object store")
         return self._store
 
     @property
@@ -210,6 +227,10 @@
         """Set the epoch of this process's owner tokens."""
         self._change(attrs.evolve(self.record, owner_epoch=epoch))
 
+    def set_watching(self, watching: bool) -> None:
+        """Set whether this process follows the store and hears from it."""
+        self._change(attrs.evolve(self.record, watching=watching))
+
     def set_ready(self, ready: bool) -> None:
         """Set whether callers may be sent here."""
         self._change(attrs.evolve(self.record, ready=ready))
@@ -225,7 +246,7 @@
         """
         async with self._hosts_lock:
             if self._clock.now_s() - self._hosts_read_s > max_age_s:
-                self._hosts = await self._store.list_hosts()
+                self._hosts = await self.store.list_hosts()
                 self._hosts_read_s = self._clock.now_s()
             return self._hosts
 
@@ -236,7 +257,8 @@
         async with anyio.create_task_group() as group:
             await group.start(self._peers.run)
             group.start_soon(self._tick_forever)
-            group.start_soon(self._watch_forever)
+            if self._store is not None:
+                group.start_soon(self._watch_forever)
             task_status.started()
 
     def _change(self, record: MemberRecord) -> None:
@@ -302,9 +324,9 @@
 
     async def _call_store(self, call: StoreCall) -> Sequence[StoredObject]:
         if isinstance(call, ReadCall):
-            stored = await self._store.get(call.key)
+            stored = await self.store.get(call.key)
             return () if stored is None else (stored,)
-        return (await self._store.watch(call.after_revision, call.wait_s)).objects
+        return (await self.store.watch(call.after_revision, call.wait_s)).objects
 
 
 def _first_record(settings: Settings, role: str) -> MemberRecord:
--- a/berylchute/objects.py
+++ b/berylchute/objects.py
@@ -25,7 +25,8 @@
 class ObjectReplica:
     """Hold the newest known version of each store object."""
 
-    def __init__(self) -> None:
+    def __init__(self, keys: Iterable[str] = OBJECT_KEYS) -> None:
+        self._keys = frozenset(keys)
         self._objects: dict[str, StoredObject] = {}
         self._digest: Mapping[str, int] = {}
         self._pulls: dict[str, _Pull] = {}
@@ -48,7 +49,7 @@
 
     def apply(self, key: str, version: int, value: bytes) -> bool:
         """Take an object if its version is higher than the known one; tell whether it was."""
-        if key not in OBJECT_KEYS or len(value) > VALUE_BYTES_MAX:
+        if key not in self._keys or len(value) > VALUE_BYTES_MAX:
             return False
         if version <= self.version(key):
             return False
@@ -67,7 +68,7 @@
         """
         wanted = []
         for key, version in versions.items():
-            if key not in OBJECT_KEYS or version <= self.version(key):
+            if key not in self._keys or version <= self.version(key):
                 continue
             pull = self._pulls.get(key)
             if pull and pull.version >= version and now_s - pull.asked_s < PULL_RETRY_S:
@@ -79,7 +80,7 @@
     def is_behind(self, versions: Mapping[str, int]) -> bool:
         """Tell whether a peer with these versions holds something newer."""
         return any(
-            version > self.version(key) for key, version in versions.items() if key in OBJECT_KEYS
+            version > self.version(key) for key, version in versions.items() if key in self._keys
         )
 
     def select(self, keys: Iterable[str]) -> tuple[ObjectPush, ...]:
--- a/berylchute/roster.py
+++ b/berylchute/roster.py
@@ -59,7 +59,15 @@
 
 def is_urgent(old: MemberRecord, new: MemberRecord) -> bool:
     """Tell whether others need to know of a change before changes of load."""
-    names = ("incarnation", "leaving", "ready", "owner_epoch", "http_url", "peer_address")
+    names = (
+        "incarnation",
+        "leaving",
+        "ready",
+        "watching",
+        "owner_epoch",
+        "http_url",
+        "peer_address",
+    )
     return any(getattr(old, name) != getattr(new, name) for name in names)
 
 
--- /dev/null
+++ b/berylchute/steering.py
@@ -0,0 +1,347 @@
+"""Carry a caller's request to a backend server: choose, send, repeat or refuse."""
+
+from collections.abc import Callable
+from enum import StrEnum
+from random import Random
+
+import anyio
+import attrs
+
+from berylchute.backends import Backends, Server, ToldLoad
+from berylchute.background import Background
+from berylchute.callers import Answer, CallerRequest, Header, Pending
+from berylchute.dialect import Dialect
+from berylchute.edgemetrics import EdgeMetrics
+from berylchute.eventlog import EventLog
+from berylchute.exceptions import ExchangeError, NotSent
+from berylchute.retrybudget import RetryBounds, RetryBudget
+from berylchute.routebook import RouteBook
+from berylchute.selection import Choice, Selector
+from berylchute.services import Route
+from berylchute.types import Clock
+from berylchute.upstream import ServerAnswer, UpstreamRequest
+
+__all__ = ["Outcome", "Steering"]
+
+# Share of the time that a caller has left after which it is asked to come back, drawn anew for
+# each refusal so that the returns spread. Callers wait at most a third of it.
+COME_BACK_SHARE = (0.2, 0.33)
+# Time assumed for callers that state none.
+TIME_LEFT_DEFAULT_S = 30.0
+# Callers are told to come back this soon while no configuration is known.
+STARTING_RETRY_S = 0.3
+# Sends that reached no server cost nothing but time; this many unreachable servers are passed.
+NOT_SENT_MAX = 3
+
+
+class Outcome(StrEnum):
+    """How a request ended."""
+
+    ANSWERED = "answered"
+    SERVER_FAILED = "server_failed"
+    REFUSED = "refused"
+    NO_ROUTE = "no_route"
+    STARTING = "starting"
+    TIMED_OUT = "timed_out"
+    ANSWER_LOST = "answer_lost"
+    CALLER_LEFT = "caller_left"
+
+
+@attrs.define(eq=False)
+class _Work:
+    """One request while it is carried."""
+
+    pending: Pending
+    request: CallerRequest
+    route: Route
+    service: str
+    key: str
+    limit_s: float
+    tried: list[str] = attrs.Factory(list)
+    sent: int = 0
+    not_sent: int = 0
+    server_ms: float = 0.0
+    reason: str = ""
+
+
+class Steering:
+    """Decide for each request; all methods run in the event loop's thread."""
+
+    def __init__(
+        self,
+        *,
+        dialect: Dialect,
+        routes: RouteBook,
+        backends: Backends,
+        selector: Selector,
+        background: Background,
+        clock: Clock,
+        rng: Random,
+        log: EventLog,
+        metrics: EdgeMetrics,
+        bounds: RetryBounds,
+        member_count: Callable[[], int],
+        region_of_zone: Callable[[str], str],
+    ) -> None:
+        self._dialect = dialect
+        self._routes = routes
+        self._backends = backends
+        self._selector = selector
+        self._background = background
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._metrics = metrics
+        self._bounds = bounds
+        self._member_count = member_count
+        self._region_of_zone = region_of_zone
+        self._started_s = clock.now_s()
+        self._budgets: dict[str, RetryBudget] = {}
+        self.in_flight = 0
+
+    def handle(self, pending: Pending) -> None:
+        """Take a request; its answer follows in order on its connection."""
+        request = pending.request
+        table = self._routes.table
+        if table is None or not len(self._backends):
+            retry = _retry_after(STARTING_RETRY_S)
+            self._end(pending, None, Outcome.STARTING, Answer(503, (retry,)))
+            return
+        route = self._routes.find(request.host, request.path)
+        if route is None:
+            self._end(pending, None, Outcome.NO_ROUTE, Answer(404))
+            return
+        left_s = TIME_LEFT_DEFAULT_S
+        if request.time_left_ms is not None:
+            left_s = request.time_left_ms / 1000.0
+        work = _Work(
+            pending=pending,
+            request=request,
+            route=route,
+            service=self._routes.next_service(route),
+            key=request.affinity_key or request.request_id,
+            limit_s=request.received_s + min(left_s, route.timeout_s),
+        )
+        self._budget(work.service).note_request(self._clock.now_s())
+        self._background.spawn(self._carry, work)
+
+    async def _carry(self, work: _Work) -> None:
+        self.in_flight += 1
+        try:
+            with anyio.move_on_after(work.limit_s - self._clock.now_s()) as scope:
+                work.pending.cancel = scope.cancel
+                while not await self._attempt(work):
+                    pass
+            if scope.cancelled_caught:
+                if work.pending.is_abandoned:
+                    self._end(work.pending, work, Outcome.CALLER_LEFT, None)
+                else:
+                    self._end(work.pending, work, Outcome.TIMED_OUT, Answer(504))
+        finally:
+            self.in_flight -= 1
+
+    async def _attempt(self, work: _Work) -> bool:
+        """Send the request once; tell whether it has ended."""
+        now_s = self._clock.now_s()
+        choice = self._selector.choose(
+            work.service, work.key, lambda zone: self._is_home(work.route, zone), work.tried, now_s
+        )
+        server = choice.server
+        if server is None:
+            self._refuse(work, choice)
+            return True
+        if work.sent and not self._budget(work.service).take(self._member_count(), now_s):
+            work.reason = f"{work.reason}, no retry budget"
+            self._give_up(work)
+            return True
+        work.tried.append(server.entry.server_id)
+        server.in_flight += 1
+        self._metrics.sent.inc()
+        try:
+            answer = await server.pool.exchange(self._encode(work, server, now_s))
+        except NotSent as error:
+            return self._take_not_sent(work, server, error)
+        except ExchangeError as error:
+            return self._take_lost(work, server, error)
+        finally:
+            server.in_flight -= 1
+            work.server_ms = (self._clock.now_s() - now_s) * 1000.0
+        work.sent += 1
+        return self._take_answer(work, server, choice, answer)
+
+    def _take_not_sent(self, work: _Work, server: Server, error: NotSent) -> bool:
+        work.not_sent += 1
+        work.reason = error.code
+        self._note_failure(server, error)
+        if work.not_sent > NOT_SENT_MAX:
+            self._give_up(work)
+            return True
+        return False
+
+    def _take_lost(self, work: _Work, server: Server, error: ExchangeError) -> bool:
+        work.sent += 1
+        work.reason = error.code
+        self._note_failure(server, error)
+        if work.route.kind.is_idempotent and work.sent < work.route.attempts_max:
+            self._metrics.retries.labels(error.code).inc()
+            return False
+        self._end(work.pending, work, Outcome.ANSWER_LOST, Answer(502))
+        return True
+
+    def _take_answer(
+        self, work: _Work, server: Server, choice: Choice, answer: ServerAnswer
+    ) -> bool:
+        now_s = self._clock.now_s()
+        told = _parse_load(answer.find(self._dialect.load))
+        if told is not None:
+            server.note_load(told, now_s)
+        if server.failures:
+            server.note_success()
+            self._backends.note_back(server, now_s)
+            self._log.event("server_back", server=server.entry.server_id)
+        if answer.status == 421:
+            server.is_replaced = True
+            self._log.event("server_replaced", server=server.entry.server_id)
+        if answer.status == 421 or answer.find(self._dialect.not_run) is not None:
+            work.reason = f"server_refused_{answer.status}"
+            if work.sent < work.route.attempts_max:
+                self._metrics.retries.labels("server_refused").inc()
+                return False
+            self._give_up(work)
+            return True
+        outcome = Outcome.ANSWERED if answer.status < 500 else Outcome.SERVER_FAILED
+        if outcome is Outcome.SERVER_FAILED and self._may_repeat_failure(work, now_s):
+            work.reason = f"server_failed_{answer.status}"
+            self._metrics.retries.labels("server_failed").inc()
+            return False
+        self._end(
+            work.pending,
+            work,
+            outcome,
+            Answer(answer.status, answer.headers, answer.body),
+            choice,
+        )
+        return True
+
+    def _may_repeat_failure(self, work: _Work, now_s: float) -> bool:
+        return (
+            work.route.kind.is_idempotent
+            and work.sent < work.route.attempts_max
+            and work.limit_s - now_s > work.route.goal_s
+            and self._budget(work.service).left(self._member_count(), now_s) >= 1.0
+        )
+
+    def _refuse(self, work: _Work, choice: Choice) -> None:
+        work.reason = work.reason or str(choice.refusal)
+        self._give_up(work, choice)
+
+    def _give_up(self, work: _Work, choice: Choice | None = None) -> None:
+        """Refuse a request that has not run, with the time to come back."""
+        if work.reason.startswith(("answer_lost", "answer_invalid", "server_failed")):
+            # An earlier attempt may have run, so that nothing can be promised.
+            self._end(work.pending, work, Outcome.ANSWER_LOST, Answer(502), choice)
+            return
+        left_s = TIME_LEFT_DEFAULT_S
+        if work.request.time_left_ms is not None:
+            elapsed_s = self._clock.now_s() - work.request.received_s
+            left_s = max(0.0, work.request.time_left_ms / 1000.0 - elapsed_s)
+        retry = _retry_after(left_s * self._rng.uniform(*COME_BACK_SHARE))
+        self._end(work.pending, work, Outcome.REFUSED, Answer(503, (retry,)), choice)
+
+    def _end(
+        self,
+        pending: Pending,
+        work: _Work | None,
+        outcome: Outcome,
+        answer: Answer | None,
+        choice: Choice | None = None,
+    ) -> None:
+        request = pending.request
+        if answer is not None:
+            if outcome not in (Outcome.ANSWERED, Outcome.SERVER_FAILED) and request.request_id:
+                name = self._dialect.request_id.title()
+                headers = (*answer.headers, (name, request.request_id.encode("latin-1")))
+                answer = attrs.evolve(answer, headers=headers)
+            pending.respond(answer)
+        total_s = self._clock.now_s() - request.received_s
+        service = work.service if work else ""
+        self._metrics.note_end(service, outcome, work.reason if work else "", total_s)
+        table = self._routes.table
+        self._log.request_event(
+            "request",
+            failed=outcome is not Outcome.ANSWERED,
+            request_id=request.request_id,
+            outcome=outcome,
+            status=answer.status if answer else 0,
+            path=request.path,
+            service=service,
+            key=request.affinity_key,
+            servers=work.tried if work else (),
+            reason=work.reason if work else "",
+            load=round(choice.load, 2) if choice else None,
+            load_age_ms=_age_ms(choice),
+            rank=choice.rank if choice else None,
+            server_ms=round(work.server_ms, 1) if work else None,
+            total_ms=round(total_s * 1000.0, 1),
+            time_left_ms=request.time_left_ms,
+            routes_number=table.number if table else 0,
+        )
+
+    def _note_failure(self, server: Server, error: ExchangeError) -> None:
+        server.note_failure(self._clock.now_s())
+        self._log.event(
+            "server_failed",
+            server=server.entry.server_id,
+            address=server.entry.address,
+            code=error.code,
+            reason=str(error),
+            failures=server.failures,
+        )
+
+    def _encode(self, work: _Work, server: Server, now_s: float) -> UpstreamRequest:
+        request, dialect = work.request, self._dialect
+        left_ms = max(1, int((work.limit_s - now_s) * 1000.0))
+        lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
+        lines += [b"%s: %s" % header for header in request.headers]
+        lines.append(b"%s: %d" % (dialect.deadline_ms.title(), left_ms))
+        server_id = server.entry.server_id.encode("latin-1")
+        lines.append(b"%s: %s" % (dialect.expected_server.title(), server_id))
+        if request.body or request.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
+            lines.append(b"Content-Length: %d" % len(request.body))
+        return UpstreamRequest(
+            request_id=request.request_id.encode("latin-1"),
+            id_header=dialect.request_id,
+            is_head=request.method == b"HEAD",
+            data=b"\r\n".join(lines) + b"\r\n\r\n" + request.body,
+        )
+
+    def _is_home(self, route: Route, availability_zone: str) -> bool:
+        if not route.home_regions:
+            return True
+        return self._region_of_zone(availability_zone) in route.home_regions
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget(self._bounds, self._started_s)
+        return budget
+
+
+def _retry_after(delay_s: float) -> Header:
+    return (b"Retry-After", b"%.3f" % delay_s)
+
+
+def _age_ms(choice: Choice | None) -> float | None:
+    if choice is None or choice.told_age_s > 1e6:
+        return None
+    return round(choice.told_age_s * 1000.0, 1)
+
+
+def _parse_load(value: bytes | None) -> ToldLoad | None:
+    if value is None:
+        return None
+    try:
+        numbers = [int(part) for part in value.split(b",")]
+        return ToldLoad(*numbers[:4])
+    except (ValueError, TypeError):
+        return None
--- a/berylchute/store.py
+++ b/berylchute/store.py
@@ -10,6 +10,7 @@
 import httpcore
 import msgspec
 
+from berylchute.backoff import Backoff
 from berylchute.exceptions import (
     StoreConflict,
     StoreError,
@@ -19,7 +20,7 @@
 from berylchute.settings import StoreSettings
 from berylchute.types import Clock, StoredObject, WatchEvent
 
-__all__ = ["Backoff", "CallBudget", "HttpObjectStore"]
+__all__ = ["CallBudget", "HttpObjectStore"]
 
 ATTEMPTS = 3
 _ETAG = re.compile(rb'^(?:W/)?"(\d{1,18})"$')
@@ -48,26 +49,6 @@
     body: bytes
 
 
-class Backoff:
-    """Compute retry delays: exponential, with full jitter above half of the step."""
-
-    def __init__(self, first_s: float, max_s: float, rng: Random) -> None:
-        self._first_s = first_s
-        self._max_s = max_s
-        self._rng = rng
-        self._failures = 0
-
-    def next_delay_s(self) -> float:
-        """Return the delay before the next attempt and count one failure."""
-        step_s = min(self._max_s, self._first_s * 2.0 ** min(self._failures, 30))
-        self._failures += 1
-        return step_s * self._rng.uniform(0.5, 1.0)
-
-    def reset(self) -> None:
-        """Forget earlier failures."""
-        self._failures = 0
-
-
 class CallBudget:
     """Limit store calls of this host: a token bucket that holds one second of calls."""
 
--- a/berylchute/watch.py
+++ b/berylchute/watch.py
@@ -6,8 +6,8 @@
 
 import attrs
 
+from berylchute.backoff import Backoff
 from berylchute.objects import OBJECT_KEYS, ObjectReplica
-from berylchute.store import Backoff
 from berylchute.types import StoredObject
 
 __all__ = ["ReadCall", "StoreCall", "WatchCall", "WatchPlan"]
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -8,6 +8,7 @@
 import httpcore
 import pytest
 
+from berylchute.backoff import Backoff
 from berylchute.exceptions import (
     StoreConflict,
     StoreError,
@@ -15,7 +16,7 @@
     StoreUnavailable,
 )
 from berylchute.settings import StoreSettings
-from berylchute.store import Backoff, CallBudget, HttpObjectStore
+from berylchute.store import CallBudget, HttpObjectStore
 from berylchute.types import StoredObject
 
 
