Keep requests in their region as far as its servers carry them

Bytes between regions and zones were the largest price after machines. Change: a key belongs to a region by the servers' parts of all slots; two of its servers come first, then one of another region; uploads prefer their own zone; members send fewer digests. Ruled out: moving with measured traffic (it moves load between regions at once, which a rule bounds).

--- a/berylchute/backends.py
+++ b/berylchute/backends.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from berylchute.regions import RegionShare, region_of_key, region_shares
 from berylchute.services import RouteTable, ServerEntry, ServerList, ServicePolicy
 from berylchute.types import Clock
 from berylchute.upstream import ConnectionPool
@@ -19,6 +20,8 @@
 FAILURE_PAUSE_MAX_S = 3.0
 # Distinct keys whose server order is kept; more keys only cost hashing.
 ORDERS_KEPT_MAX = 4096
+# Servers of a key's own region that come before those of other regions.
+NEAR_SERVERS = 2
 # Share of a cold server's rate that its one sender uses; two senders may overlap for a moment.
 COLD_RATE_SHARE = 0.7
 # Used until the configuration names the service.
@@ -90,12 +93,22 @@
 class Backends:
     """Hold all servers by service, and order them for an affinity key."""
 
-    def __init__(self, clock: Clock, wall_minus_clock_s: float) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        wall_minus_clock_s: float,
+        zone: str = "",
+        zone_regions: Mapping[str, str] | None = None,
+    ) -> None:
         self._clock = clock
+        self._zone = zone
+        self._region = (zone_regions or {}).get(zone, "")
+        self._zone_regions = zone_regions or {}
+        self._shares: dict[str, tuple[RegionShare, ...]] = {}
         self._wall_minus_clock_s = wall_minus_clock_s
         self._servers: dict[str, Server] = {}
         self._by_service: dict[str, tuple[Server, ...]] = {}
-        self._orders: dict[tuple[str, str], tuple[Server, ...]] = {}
+        self._orders: dict[tuple[str, str, bool], tuple[Server, ...]] = {}
         self._policies: dict[str, ServicePolicy] = {}
         self._drained_zones: frozenset[str] = frozenset()
         self._known_since_s: dict[str, float] = {}
@@ -140,6 +153,7 @@
         drained = frozenset(availability_zones)
         returned = tuple(sorted(self._drained_zones - drained))
         self._drained_zones = drained
+        self._index()
         now_s = self._clock.now_s()
         for server in self._servers.values():
             if server.entry.availability_zone in returned:
@@ -160,17 +174,37 @@
         """Return the servers of a service."""
         return self._by_service.get(service, ())
 
-    def order(self, service: str, key: str) -> Sequence[Server]:
-        """Return the servers of a service in the order in which a key prefers them."""
-        order = self._orders.get((service, key))
+    def order(self, service: str, key: str, *, is_bulky: bool = False) -> Sequence[Server]:
+        """Return the servers of a service in the order in which a key prefers them.
+
+        Bulky requests prefer servers of the own availability zone, since bytes between zones
+        cost more than a second copy of what a server keeps for a key.
+        """
+        order = self._orders.get((service, key, is_bulky))
         if order is None:
             if len(self._orders) >= ORDERS_KEPT_MAX:
                 self._orders.clear()
-            servers = self._by_service.get(service, ())
-            order = tuple(sorted(servers, key=lambda server: _weight(key, server), reverse=True))
-            self._orders[service, key] = order
+            order = tuple(self._make_order(service, key, is_bulky))
+            self._orders[service, key, is_bulky] = order
         return order
 
+    def _make_order(self, service: str, key: str, is_bulky: bool) -> Sequence[Server]:
+        """Put the best NEAR_SERVERS of the key's region first, then all others."""
+        servers = sorted(
+            self._by_service.get(service, ()),
+            key=lambda server: _weight(key, server),
+            reverse=True,
+        )
+        region = region_of_key(key, self._shares.get(service, ()))
+        near = [server for server in servers if self._region_of(server) == region]
+        far = [server for server in servers if self._region_of(server) != region]
+        if is_bulky:
+            near.sort(key=lambda server: server.entry.availability_zone != self._zone)
+        return [*near[:NEAR_SERVERS], *far, *near[NEAR_SERVERS:]]
+
+    def _region_of(self, server: Server) -> str:
+        return self._zone_regions.get(server.entry.availability_zone, "")
+
     def note_back(self, server: Server, now_s: float) -> None:
         """Take a server that answers again after failures; it may have restarted cold."""
         policy = self._policies.get(server.entry.service)
@@ -214,6 +248,18 @@
             by_service.setdefault(server.entry.service, []).append(server)
         self._by_service = {service: tuple(servers) for service, servers in by_service.items()}
         self._orders.clear()
+        self._shares = {
+            service: region_shares(self._region, self._zone_regions, self._slots(servers))
+            for service, servers in by_service.items()
+        }
+
+    def _slots(self, servers: Sequence[Server]) -> Mapping[str, float]:
+        slots: dict[str, float] = {}
+        for server in servers:
+            if self.is_open(server):
+                region = self._region_of(server)
+                slots[region] = slots.get(region, 0.0) + server.entry.slots
+        return slots
 
 
 def _is_other_process(old: ServerEntry, new: ServerEntry) -> bool:
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -20,6 +20,7 @@
 from berylchute.edgemetrics import EdgeMetrics
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import ConfigError
+from berylchute.membership import Timing
 from berylchute.node import BootClock, Node
 from berylchute.retrybudget import RetryBounds
 from berylchute.routebook import RouteBook
@@ -33,6 +34,8 @@
 
 REPORT_S = 0.25
 LOG_FLUSH_S = 0.2
+# Messages between members cost more processor time than requests at the default periods.
+MEMBER_TIMING = Timing(heartbeat_s=0.5, suspect_s=1.6, digest_s=1.0, pause_s=1.2)
 # Members that follow the store and tell the others; more survive cuts, each costs calls.
 WATCHERS = 4
 # After the stop signal, callers are still served as before for this long, until most have asked
@@ -74,10 +77,20 @@
         host = settings.node.host.host_id
         self._log = EventLog(1, host)
         self._node = Node(
-            settings.node, "edge", store=None, clock=self._clock, object_keys=SHARED_KEYS
+            settings.node,
+            "edge",
+            store=None,
+            clock=self._clock,
+            object_keys=SHARED_KEYS,
+            timing=MEMBER_TIMING,
         )
         self._routes = RouteBook()
-        self._backends = Backends(self._clock, time.time() - self._clock.now_s())
+        self._backends = Backends(
+            self._clock,
+            time.time() - self._clock.now_s(),
+            settings.node.host.availability_zone,
+            settings.zone_regions,
+        )
         self._directory = Directory()
         self._background = Background()
         self._metrics = EdgeMetrics()
--- a/berylchute/membership.py
+++ b/berylchute/membership.py
@@ -75,6 +75,7 @@
         self._update_due_s = now_s + rng.uniform(0.0, self._timing.update_s)
         self._join_due_s = now_s
         self._pull_due_s = now_s
+        self._digest_due_s = now_s
 
     def statuses(self) -> Sequence[MemberStatus]:
         """Return every known member, itself included, ordered by host id."""
@@ -288,9 +289,12 @@
         own_zone.beat += 1
         own_zone.heard_s = now_s
         update = self._update(self._select(), now_s)
-        digest = ObjectDigest(sender_address=self.record.peer_address, versions=self._digest)
         addresses = dict.fromkeys([*self._zone_addresses(), *self._gossip_addresses()])
         out = [Outgoing(address, update) for address in addresses]
+        if now_s < self._digest_due_s:
+            return out
+        self._digest_due_s = now_s + self._timing.digest_s
+        digest = ObjectDigest(sender_address=self.record.peer_address, versions=self._digest)
         return out + [Outgoing(address, digest) for address in addresses]
 
     def _select(self) -> list[Member]:
--- a/berylchute/node.py
+++ b/berylchute/node.py
@@ -13,7 +13,7 @@
 
 from berylchute.config import Configuration, decode_json
 from berylchute.exceptions import ConfigError, StoreError
-from berylchute.membership import Membership, Outgoing
+from berylchute.membership import Membership, Outgoing, Timing
 from berylchute.messages import MemberRecord, Message
 from berylchute.objects import OBJECT_KEYS, ObjectReplica
 from berylchute.peers import PeerCounters, Peers
@@ -98,6 +98,7 @@
         clock: Clock | None = None,
         rng: Random | None = None,
         object_keys: Sequence[str] = OBJECT_KEYS,
+        timing: Timing | None = None,
     ) -> None:
         """Compose the tasks; without a store, objects arrive by `receive_object` and from peers."""
         self._settings = settings
@@ -117,7 +118,11 @@
         self._watch = WatchPlan(wait_s, self._objects, self._rng)
         self._peers = Peers(settings.listen.peers, settings.peers, self._clock, self._receive)
         self._membership = Membership(
-            _first_record(settings, role), settings.peers.seeds, self._rng, self._started_s
+            _first_record(settings, role),
+            settings.peers.seeds,
+            self._rng,
+            self._started_s,
+            timing,
         )
         self._replication = Replication(self._membership, self._objects, self._object_changed)
         self.dropped_messages = 0
--- a/berylchute/roster.py
+++ b/berylchute/roster.py
@@ -20,6 +20,7 @@
 
     heartbeat_s: float = 0.25
     update_s: float = 0.5
+    digest_s: float = 0.0  # digests go with every update; changes are told at once besides
     join_s: float = 0.5
     suspect_s: float = 1.0
     gone_s: float = 3.0
--- a/berylchute/selection.py
+++ b/berylchute/selection.py
@@ -9,8 +9,8 @@
 
 __all__ = ["Choice", "Refusal", "Selector"]
 
-# Servers that hold a key's objects; the second takes over when the first is full.
-PREFERRED_SERVERS = 2
+# Servers that hold a key's objects; the next takes over when those before it are full.
+PREFERRED_SERVERS = 3
 # Requests at a server, in multiples of its slots, above which it is full.
 FULL_RATIO = 1.0
 
@@ -44,6 +44,7 @@
         self,
         service: str,
         key: str,
+        is_bulky: bool,
         regions: Callable[[str], bool],
         tried: Collection[str],
         now_s: float,
@@ -55,7 +56,7 @@
         """
         considered = 0
         least = 0.0
-        for rank, server in enumerate(self._backends.order(service, key)):
+        for rank, server in enumerate(self._backends.order(service, key, is_bulky=is_bulky)):
             if considered == PREFERRED_SERVERS:
                 break
             if not self._may_use(server, now_s) or server.entry.server_id in tried:
--- a/berylchute/steering.py
+++ b/berylchute/steering.py
@@ -17,7 +17,7 @@
 from berylchute.retrybudget import RetryBounds, RetryBudget
 from berylchute.routebook import RouteBook
 from berylchute.selection import Choice, Selector
-from berylchute.services import Route
+from berylchute.services import Route, RouteKind
 from berylchute.types import Clock
 from berylchute.upstream import ServerAnswer, UpstreamRequest
 
@@ -144,7 +144,12 @@
         """Send the request once; tell whether it has ended."""
         now_s = self._clock.now_s()
         choice = self._selector.choose(
-            work.service, work.key, lambda zone: self._is_home(work.route, zone), work.tried, now_s
+            work.service,
+            work.key,
+            work.route.kind is RouteKind.UPLOAD,
+            lambda zone: self._is_home(work.route, zone),
+            work.tried,
+            now_s,
         )
         server = choice.server
         if server is None:
--- /dev/null
+++ b/tests/test_regions.py
@@ -0,0 +1,47 @@
+"""Guard where the requests of a region go: near callers, but no region beyond its servers' part."""
+
+from collections import Counter
+
+import pytest
+
+from berylchute.regions import region_of_key, region_shares
+
+ZONES = {f"z{region}{number}": region for region in "abc" for number in (1, 2)}
+
+
+def shares(own: str, **slots: float) -> dict[str, float]:
+    return {share.region: share.share for share in region_shares(own, ZONES, slots)}
+
+
+def test_even_servers_keep_requests_at_home() -> None:
+    assert shares("a", a=10.0, b=10.0, c=10.0) == {"a": 1.0, "b": 0.0, "c": 0.0}
+
+
+def test_small_region_moves_what_its_servers_cannot_carry() -> None:
+    slots = {"a": 2.0, "b": 10.0, "c": 8.0}
+    total = Counter[str]()
+    for own in "abc":
+        for region, share in shares(own, **slots).items():
+            total[region] += share / 3
+    # Every region carries the part of all requests that its slots are of all slots.
+    assert {region: round(part, 6) for region, part in total.items()} == {
+        "a": 0.1,
+        "b": 0.5,
+        "c": 0.4,
+    }
+    assert shares("a", **slots)["a"] == pytest.approx(0.3)
+
+
+def test_region_without_servers_uses_the_others() -> None:
+    assert shares("a", b=5.0, c=5.0) == {"a": 0.0, "b": 0.5, "c": 0.5}
+    assert shares("a", a=5.0) == {"a": 1.0}
+    assert shares("a") == {}
+
+
+def test_keys_spread_by_the_shares_and_stay() -> None:
+    found = region_shares("a", ZONES, {"a": 2.0, "b": 10.0, "c": 8.0})
+    regions = [region_of_key(str(key), found) for key in range(2000)]
+    assert 0.25 < regions.count("a") / 2000 < 0.35
+    smaller = region_shares("a", ZONES, {"a": 1.5, "b": 10.0, "c": 8.5})
+    moved = sum(region_of_key(str(key), smaller) != region for key, region in enumerate(regions))
+    assert moved / 2000 < 0.15
