Prefer one near server and one of another region for a key

Cause: a third choice took requests to servers that did not hold their objects, which cost three times the work and so the capacity of everyone; a second near server did not help while its whole region was at its peak.

--- a/berylchute/backends.py
+++ b/berylchute/backends.py
@@ -21,7 +21,7 @@
 # Distinct keys whose server order is kept; more keys only cost hashing.
 ORDERS_KEPT_MAX = 4096
 # Servers of a key's own region that come before those of other regions.
-NEAR_SERVERS = 2
+NEAR_SERVERS = 1
 # Share of a cold server's rate that its one sender uses; two senders may overlap for a moment.
 COLD_RATE_SHARE = 0.7
 # Used until the configuration names the service.
--- a/berylchute/selection.py
+++ b/berylchute/selection.py
@@ -10,9 +10,9 @@
 __all__ = ["Choice", "Refusal", "Selector"]
 
 # Servers that hold a key's objects; the next takes over when those before it are full.
-PREFERRED_SERVERS = 3
+PREFERRED_SERVERS = 2
 # Requests at a server, in multiples of its slots, above which it is full.
-FULL_RATIO = 1.0
+FULL_RATIO = 1.25
 
 
 class Refusal(StrEnum):
