Leave a server that its neighbours slow down for the second choice

Cause: servers tell how long work takes on their machines; for 15% of the time it takes 2.5 times as long, and answers then miss the objective where the usual time is near it.

--- a/berylchute/backends.py
+++ b/berylchute/backends.py
@@ -15,6 +15,15 @@
 
 # Load that a server told loses its weight over this time: work of that age has mostly ended.
 TOLD_FADES_S = 0.6
+# A told pace says nothing after this time: neighbours on a server's machine come and go.
+PACE_AGE_MAX_S = 0.3
+# Weight of one answer in the usual time of a server's answers, by whether it was shorter.
+WORK_FALL_WEIGHT = 0.2
+WORK_RISE_WEIGHT = 0.02
+# Pace in percent from which another server is worth a detour, and the part of the latency
+# objective that an answer may take there; the rest is the way to the caller and back.
+SLOWED_PACE = 150
+IN_TIME_RATIO = 0.8
 # A server that failed is left alone for this long, doubled with each further failure.
 FAILURE_PAUSE_S = 0.3
 FAILURE_PAUSE_MAX_S = 3.0
@@ -55,6 +64,7 @@
     paused_until_s: float = 0.0
     is_replaced: bool = False
     next_cold_send_s: float = 0.0
+    work_s: float = 0.0
 
     def load(self, now_s: float) -> float:
         """Estimate the requests at the server: own ones and what others had there."""
@@ -64,12 +74,28 @@
         weight = max(0.0, 1.0 - (now_s - self.told_s) / TOLD_FADES_S)
         return self.in_flight + max(0.0, others) * weight
 
-    def pace(self, now_s: float, age_max_s: float) -> int:
-        """Return the told pace in percent if it is at most `age_max_s` old, else the usual."""
-        if self.told is None or now_s - self.told_s > age_max_s:
+    def pace(self, now_s: float) -> int:
+        """Return the told pace in percent if it was told lately, else the usual."""
+        if self.told is None or now_s - self.told_s > PACE_AGE_MAX_S:
             return 100
         return self.told.pace
 
+    def is_slowed(self, goal_s: float, now_s: float) -> bool:
+        """Tell whether an answer is likely to come late because of the server's present pace."""
+        pace = self.pace(now_s)
+        return pace >= SLOWED_PACE and self.work_s * pace / 100.0 > IN_TIME_RATIO * goal_s
+
+    def note_work(self, seconds: float, now_s: float) -> None:
+        """Take the time of one answer, at the pace that came with it."""
+        usual_s = seconds * 100.0 / max(1, self.pace(now_s))
+        if not self.work_s:
+            self.work_s = usual_s
+            return
+        # Work on objects that the server does not hold is several times longer; the estimate
+        # is of work on those that it holds.
+        weight = WORK_FALL_WEIGHT if usual_s < self.work_s else WORK_RISE_WEIGHT
+        self.work_s += weight * (usual_s - self.work_s)
+
     def note_load(self, told: ToldLoad, now_s: float) -> None:
         """Take the load that came with an answer."""
         self.told, self.told_s, self.told_in_flight = told, now_s, self.in_flight
--- a/berylchute/selection.py
+++ b/berylchute/selection.py
@@ -13,6 +13,8 @@
 PREFERRED_SERVERS = 2
 # Requests at a server, in multiples of its slots, above which it is full.
 FULL_RATIO = 1.25
+# Load up to which a server takes requests of another one that is slow just now.
+STAND_IN_RATIO = 0.8
 
 
 class Refusal(StrEnum):
@@ -44,6 +46,7 @@
         self,
         service: str,
         key: str,
+        goal_s: float,
         is_bulky: bool,
         regions: Callable[[str], bool],
         tried: Collection[str],
@@ -56,6 +59,7 @@
         """
         considered = 0
         least = 0.0
+        slow: Choice | None = None
         for rank, server in enumerate(self._backends.order(service, key, is_bulky=is_bulky)):
             if considered == PREFERRED_SERVERS:
                 break
@@ -68,8 +72,15 @@
             considered += 1
             load = server.load(now_s)
             if load < FULL_RATIO * server.entry.slots:
-                return Choice(server, None, load, now_s - server.told_s, rank)
+                choice = Choice(server, None, load, now_s - server.told_s, rank)
+                if slow is None and server.is_slowed(goal_s, now_s):
+                    slow = choice  # another one may be in time, even if it holds no objects
+                    continue
+                if slow is None or load < STAND_IN_RATIO * server.entry.slots:
+                    return choice
             least = load if considered == 1 else min(least, load)
+        if slow is not None:
+            return slow
         if considered == 0:
             return Choice(None, Refusal.NO_SERVER)
         return Choice(None, Refusal.ALL_FULL, least)
--- a/berylchute/steering.py
+++ b/berylchute/steering.py
@@ -146,6 +146,7 @@
         choice = self._selector.choose(
             work.service,
             work.key,
+            work.route.goal_s,
             work.route.kind is RouteKind.UPLOAD,
             lambda zone: self._is_home(work.route, zone),
             work.tried,
@@ -200,6 +201,8 @@
         told = _parse_load(answer.find(self._dialect.load))
         if told is not None:
             server.note_load(told, now_s)
+            if answer.status < 300:
+                server.note_work(work.server_ms / 1000.0, now_s)
         if server.failures:
             server.note_success()
             self._backends.note_back(server, now_s)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from berylchute.backends import FAILURE_PAUSE_S, TOLD_FADES_S, Backends, ToldLoad
+from berylchute.backends import FAILURE_PAUSE_S, PACE_AGE_MAX_S, TOLD_FADES_S, Backends, ToldLoad
 from berylchute.services import CallerLimits, RouteTable, ServerEntry, ServerList, ServicePolicy
 from tests.httpfakes import ManualClock
 
@@ -119,3 +119,16 @@
     server = backends.of_service("s")[0]
     backends.note_back(server, clock.now)
     assert server.is_cold(clock.now + 2.9)
+
+
+def test_slowed_server_is_one_whose_answers_come_late() -> None:
+    clock = ManualClock()
+    server = make(clock, entry("i-1")).of_service("s")[0]
+    for _ in range(40):
+        server.note_work(0.4, clock.now)  # objects that the server does not hold yet
+        server.note_work(0.1, clock.now)
+    server.note_load(ToldLoad(1, 0, 4, pace=250), clock.now)
+    assert server.is_slowed(0.2, clock.now)
+    assert not server.is_slowed(1.0, clock.now)
+    # A pace told long ago says nothing.
+    assert not server.is_slowed(0.2, clock.now + PACE_AGE_MAX_S + 0.1)
