Tell each attempt in a request's log line; explain requests from logs; weigh members by capacity

Cause: a failed request's line named the servers but not the figures that chose each, and explain could only ask living hosts; grown deployments put machines of a tenth of the strength beside strong ones, and callers choose evenly among the offers; SIGHUP claimed that nothing had changed unread. Ruled out: repeating strong addresses in an answer (callers may fold them).

--- a/berylchute/commands.py
+++ b/berylchute/commands.py
@@ -45,6 +45,7 @@
     "flush_and_exit",
     "read_document",
     "run",
+    "run_local",
     "show_slow",
     "to_toml",
 ]
@@ -209,6 +210,17 @@
         return exit_code_of(error)
 
 
+def run_local(output: Output, command: Callable[[Renderer], None]) -> int:
+    """Run a command that needs no settings, store or hosts, and return its exit code."""
+    renderer = Renderer(output)
+    try:
+        command(renderer)
+    except CommandError as error:
+        renderer.error(describe_error(error))
+        return exit_code_of(error)
+    return EXIT_DONE
+
+
 def make_store(settings: ClientSettings) -> HttpObjectStore:
     """Return the client of the platform's object store."""
     return HttpObjectStore(settings.store, MonotonicClock(), Random())
--- a/berylchute/ctl.py
+++ b/berylchute/ctl.py
@@ -8,6 +8,7 @@
 from berylchute import __version__, commands, config, drainctl, operations, shiftctl
 from berylchute.commands import EXIT_BAD_INPUT, EXIT_DONE, EXIT_UNKNOWN, Session
 from berylchute.ctlcommon import COMMON, Common
+from berylchute.eventhistory import show_history
 from berylchute.exceptions import BerylchuteError, CommandError
 from berylchute.rendering import Output, Renderer
 
@@ -177,8 +178,17 @@
 
 
 @app.command
-def explain(request_id: str, *, common: Common = COMMON) -> int:
-    """Tell one request's life: candidates, choice, retries, hedges, refusals."""
+def explain(request_id: str, *, log: tuple[Path, ...] = (), common: Common = COMMON) -> int:
+    """Tell one request's life: candidates, choice, retries, hedges, refusals.
+
+    Parameters
+    ----------
+    log
+        Log files of edge programs to read instead of asking entry hosts; "-" is standard input.
+    """
+
+    if log:
+        return commands.run_local(common.output, lambda out: show_history(out, request_id, log))
 
     async def command(session: Session) -> None:
         for answer in await session.hosts.get_all(f"/berylchute/v1/requests/{request_id}"):
--- a/berylchute/directory.py
+++ b/berylchute/directory.py
@@ -2,12 +2,16 @@
 
 from collections.abc import Sequence
 
+from berylchute.messages import MemberRecord
 from berylchute.types import MemberState, MemberStatus
 
 __all__ = ["Directory"]
 
 # Members offered to a caller; fewer than this in its zone are joined by others of its region.
 OFFERS_MIN = 2
+# Callers choose evenly among the offers, so that members much weaker than the strongest are left
+# out while enough others are there.
+CAPACITY_RATIO_MIN = 0.5
 
 
 class Directory:
@@ -15,9 +19,9 @@
 
     def __init__(self) -> None:
         self._statuses: Sequence[MemberStatus] = ()
-        self._by_zone: dict[str, list[str]] = {}
-        self._by_region: dict[str, list[str]] = {}
-        self._all: list[str] = []
+        self._by_zone: dict[str, list[MemberRecord]] = {}
+        self._by_region: dict[str, list[MemberRecord]] = {}
+        self._all: list[MemberRecord] = []
 
     def update(self, statuses: Sequence[MemberStatus]) -> None:
         """Take the current members."""
@@ -29,10 +33,9 @@
             record = status.record
             if status.state is not MemberState.LIVE or not record.ready or record.leaving:
                 continue
-            address = record.http_url.rpartition("/")[2]
-            self._by_zone.setdefault(record.availability_zone, []).append(address)
-            self._by_region.setdefault(record.region, []).append(address)
-            self._all.append(address)
+            self._by_zone.setdefault(record.availability_zone, []).append(record)
+            self._by_region.setdefault(record.region, []).append(record)
+            self._all.append(record)
 
     def offers(
         self, availability_zone: str, region: str, homes: frozenset[str] = frozenset()
@@ -42,10 +45,19 @@
         Where a host name is bound to regions, `homes` and the caller's own region are preferred.
         """
         near = self._by_zone.get(availability_zone, [])
-        if len(near) >= OFFERS_MIN:
-            return near
-        near = self._by_region.get(region, near)
-        if near:
-            return near
-        bound = [a for home in sorted(homes) for a in self._by_region.get(home, ())]
-        return bound or self._all
+        if len(near) < OFFERS_MIN:
+            near = self._by_region.get(region, near)
+        if not near:
+            near = [r for home in sorted(homes) for r in self._by_region.get(home, ())]
+        return [record.http_url.rpartition("/")[2] for record in _strong(near or self._all)]
+
+
+def _strong(records: Sequence[MemberRecord]) -> Sequence[MemberRecord]:
+    """Return the records near the highest capacity, OFFERS_MIN at least if there are as many."""
+    ordered = sorted(records, key=lambda record: record.capacity, reverse=True)
+    bound = CAPACITY_RATIO_MIN * ordered[0].capacity if ordered else 0.0
+    return [
+        record
+        for index, record in enumerate(ordered)
+        if index < OFFERS_MIN or record.capacity >= bound
+    ]
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -19,7 +19,7 @@
 from berylchute.directory import Directory
 from berylchute.edgemetrics import EdgeMetrics
 from berylchute.eventlog import EventLog
-from berylchute.exceptions import ConfigError
+from berylchute.exceptions import ConfigError, SettingsError
 from berylchute.membership import Timing
 from berylchute.node import BootClock, Node
 from berylchute.retrybudget import RetryBounds
@@ -70,8 +70,11 @@
         settings: EdgeSettings,
         store: CollectionStore,
         collections: Sequence[Collection],
+        read_settings: Callable[[], EdgeSettings],
     ) -> None:
+        """Compose the parts; `read_settings` reads the settings again, and raises SettingsError."""
         self._settings = settings
+        self._read_settings = read_settings
         self._clock = BootClock()
         self._rng = Random()
         host = settings.node.host.host_id
@@ -252,7 +255,23 @@
     async def _reload_on_signal(self) -> None:
         with anyio.open_signal_receiver(signal.SIGHUP) as signals:
             async for _ in signals:
-                self._log.event("reload", changed=False)
+                self._reload()
+
+    def _reload(self) -> None:
+        """Take the settings that may change while the process runs."""
+        try:
+            settings = self._read_settings()
+        except SettingsError as error:
+            self._log.event("reload_failed", reason=str(error))
+            return
+        before, self._settings = self._settings, settings
+        self._steering.bounds = settings.retries
+        self._log.event(
+            "reload",
+            changed=settings != before,
+            # Addresses, identity and seeds are read at the start only.
+            needs_restart=settings.node != before.node or settings.metrics != before.metrics,
+        )
 
     async def _wait_for_stop(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- /dev/null
+++ b/berylchute/eventhistory.py
@@ -0,0 +1,97 @@
+"""Tell one request's life from the event logs of several edge programs."""
+
+import sys
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+import attrs
+import msgspec
+
+from berylchute.exceptions import CommandError
+from berylchute.rendering import Renderer
+
+__all__ = ["HistoryLine", "find_history", "read_events", "show_history"]
+
+# Events that change what a process believes as a whole; the last of each before a request counts.
+_BELIEFS = ("start", "routes", "servers", "zone_drains", "store_watch", "ready", "stopping")
+# Events about one server; the last of each server that was tried counts.
+_SERVER_EVENTS = ("server_failed", "server_back", "server_replaced")
+STANDARD_INPUT = "-"
+
+
+@attrs.frozen
+class HistoryLine:
+    """One event; `before_s` is the time from it to the request's end on the same machine."""
+
+    host: str
+    time_s: float
+    before_s: float
+    event: str
+    details: str
+
+
+def read_events(lines: Iterable[str]) -> Iterator[Mapping[str, Any]]:
+    """Return the events in log lines; what stands before the JSON text of a line is passed over."""
+    for line in lines:
+        start = line.find('{"time_s"')
+        if start < 0:
+            continue
+        try:
+            event = msgspec.json.decode(line[start:].strip())
+        except msgspec.DecodeError:
+            continue  # the last line of a process that was killed may be cut short
+        if isinstance(event, dict):
+            yield event
+
+
+def find_history(events: Sequence[Mapping[str, Any]], request_id: str) -> list[HistoryLine]:
+    """Return a request's events by time, each with the beliefs of its machine in force then."""
+    found: list[HistoryLine] = []
+    for request in events:
+        if request.get("event") != "request" or request.get("request_id") != request_id:
+            continue
+        host, end_s = request["host"], request["time_s"]
+        earlier = [e for e in events if e.get("host") == host and e["time_s"] <= end_s]
+        earlier.sort(key=lambda event: float(event["time_s"]))
+        tried = {attempt["server"] for attempt in request.get("attempts", ())}
+        last: dict[str, Mapping[str, Any]] = {}
+        for event in earlier:
+            if event["event"] in _BELIEFS:
+                last[event["event"]] = event
+            elif event["event"] in _SERVER_EVENTS and event.get("server") in tried:
+                last[f"{event['event']}/{event['server']}"] = event
+        found += [_line(event, end_s) for event in last.values()]
+        found.append(_line(request, end_s))
+    return sorted(found, key=lambda line: line.time_s)
+
+
+def _line(event: Mapping[str, Any], end_s: float) -> HistoryLine:
+    shown = ("time_s", "host", "event", "request_id")
+    details = {name: value for name, value in event.items() if name not in shown}
+    return HistoryLine(
+        host=event["host"],
+        time_s=event["time_s"],
+        before_s=round(end_s - event["time_s"], 3),
+        event=event["event"],
+        details=" ".join(f"{name}={value}" for name, value in details.items()),
+    )
+
+
+def show_history(renderer: Renderer, request_id: str, files: Sequence[Path]) -> None:
+    """Write a request's life from log files; raise CommandError if they do not tell of it."""
+    events: list[Mapping[str, Any]] = []
+    for file in files:
+        if str(file) == STANDARD_INPUT:
+            events += read_events(sys.stdin)
+            continue
+        try:
+            with file.open(encoding="utf-8", errors="replace") as lines:
+                events += read_events(lines)
+        except OSError as error:
+            raise CommandError(f"{file}: {error.strerror}") from error
+    history = find_history(events, request_id)
+    if not history:
+        raise CommandError(f"no log line tells of request {request_id}")
+    title = f"request {request_id}; times are of each machine's own clock"
+    renderer.rows(title, history)
--- a/berylchute/messages.py
+++ b/berylchute/messages.py
@@ -32,7 +32,8 @@
 class MemberRecord:
     """What a member says of itself; a higher (incarnation, sequence) replaces a lower.
 
-    `watching` tells that it follows the store and hears from it.
+    `watching` tells that it follows the store and hears from it; `capacity` compares the traffic
+    that members can carry.
     """
 
     host_id: str
@@ -51,6 +52,7 @@
     config_version: int
     free_units: Mapping[str, int]
     watching: bool = False
+    capacity: float = 1.0
 
 
 @attrs.frozen
--- a/berylchute/node.py
+++ b/berylchute/node.py
@@ -38,6 +38,9 @@
 # How long a fresh process waits for peers' newer configuration before it counts as ready.
 PEER_ANSWER_S = 2.0
 RELAY_CHECK_S = 0.5
+# Link speed that goes with one core: a core carries some 500 requests a second, of which one in
+# ten brings 60 KB in and out.
+MBIT_PER_S_A_CORE = 50.0
 HOSTS_MAX_AGE_S = 5.0
 
 
@@ -352,4 +355,5 @@
         settled_version=0,
         config_version=0,
         free_units={},
+        capacity=min(settings.host.cpu_cores, settings.host.link_mbit_per_s / MBIT_PER_S_A_CORE),
     )
--- a/berylchute/retrybudget.py
+++ b/berylchute/retrybudget.py
@@ -25,7 +25,7 @@
     """Count requests and repeats of one service in a sliding window."""
 
     def __init__(self, bounds: RetryBounds, started_s: float) -> None:
-        self._bounds = bounds
+        self.bounds = bounds
         self._started_s = started_s
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
@@ -38,9 +38,9 @@
     def left(self, members: int, now_s: float) -> float:
         """Return the repeats that may still be sent now, with `members` processes sharing."""
         self._forget(now_s)
-        allowed = self._bounds.ratio * len(self._requests)
+        allowed = self.bounds.ratio * len(self._requests)
         if now_s - self._started_s > LEARNING_S:
-            allowed += self._bounds.burst / max(1, members)
+            allowed += self.bounds.burst / max(1, members)
         return allowed * USED_SHARE - len(self._repeats)
 
     def take(self, members: int, now_s: float) -> bool:
@@ -51,7 +51,7 @@
         return True
 
     def _forget(self, now_s: float) -> None:
-        before_s = now_s - self._bounds.window_s
+        before_s = now_s - self.bounds.window_s
         for times in (self._requests, self._repeats):
             while times and times[0] < before_s:
                 times.popleft()
--- a/berylchute/settings.py
+++ b/berylchute/settings.py
@@ -21,12 +21,17 @@
 
 @attrs.frozen
 class HostSettings:
-    """Identity of this host; `position` is empty for a locator."""
+    """Identity of this host; `position` is empty for a locator.
+
+    `cpu_cores` and `link_mbit_per_s` are what one process may use.
+    """
 
     host_id: str
     availability_zone: str
     region: str
     position: str = ""
+    cpu_cores: float = 1.0
+    link_mbit_per_s: float = 1000.0
 
 
 @attrs.frozen
--- a/berylchute/steering.py
+++ b/berylchute/steering.py
@@ -1,5 +1,6 @@
 """Carry a caller's request to a backend server: choose, send, repeat or refuse."""
 
+import math
 from collections.abc import Callable
 from enum import StrEnum
 from random import Random
@@ -21,7 +22,7 @@
 from berylchute.types import Clock
 from berylchute.upstream import ServerAnswer, UpstreamRequest
 
-__all__ = ["Outcome", "Steering"]
+__all__ = ["Attempt", "Outcome", "Steering"]
 
 # Share of the time that a caller has left after which it is asked to come back, drawn anew for
 # each refusal so that the returns spread. Callers wait at most a third of it.
@@ -47,6 +48,24 @@
     CALLER_LEFT = "caller_left"
 
 
+@attrs.define(eq=False)
+class Attempt:
+    """One send of a request: the server, the figures that chose it, and how it ended.
+
+    `rank` is the server's place in the order of the request's key; `load_age_ms` is None where
+    the server has not told its load yet.
+    """
+
+    server: str
+    rank: int
+    load: float
+    load_age_ms: float | None
+    pace: int
+    at_ms: float
+    result: str = "no_answer"
+    server_ms: float = 0.0
+
+
 @attrs.define(eq=False)
 class _Work:
     """One request while it is carried."""
@@ -57,12 +76,16 @@
     service: str
     key: str
     limit_s: float
-    tried: list[str] = attrs.Factory(list)
+    attempts: list[Attempt] = attrs.Factory(list)
     sent: int = 0
     not_sent: int = 0
-    server_ms: float = 0.0
     reason: str = ""
 
+    @property
+    def tried(self) -> list[str]:
+        """Return the servers that were tried."""
+        return [attempt.server for attempt in self.attempts]
+
 
 class Steering:
     """Decide for each request; all methods run in the event loop's thread."""
@@ -92,7 +115,7 @@
         self._rng = rng
         self._log = log
         self._metrics = metrics
-        self._bounds = bounds
+        self.bounds = bounds
         self._member_count = member_count
         self._region_of_zone = region_of_zone
         self._started_s = clock.now_s()
@@ -160,20 +183,31 @@
             work.reason = f"{work.reason}, no retry budget"
             self._give_up(work)
             return True
-        work.tried.append(server.entry.server_id)
+        attempt = Attempt(
+            server.entry.server_id,
+            choice.rank,
+            round(choice.load, 2),
+            _age_ms(choice.told_age_s),
+            server.pace(now_s),
+            at_ms=_ms(now_s - work.request.received_s),
+        )
+        work.attempts.append(attempt)
         server.in_flight += 1
         self._metrics.sent.inc()
         try:
             answer = await server.pool.exchange(self._encode(work, server, now_s))
         except NotSent as error:
+            attempt.result = error.code
             return self._take_not_sent(work, server, error)
         except ExchangeError as error:
+            attempt.result = error.code
             return self._take_lost(work, server, error)
         finally:
             server.in_flight -= 1
-            work.server_ms = (self._clock.now_s() - now_s) * 1000.0
+            attempt.server_ms = _ms(self._clock.now_s() - now_s)
+        attempt.result = str(answer.status)
         work.sent += 1
-        return self._take_answer(work, server, choice, answer)
+        return self._take_answer(work, server, answer, attempt.server_ms / 1000.0)
 
     def _take_not_sent(self, work: _Work, server: Server, error: NotSent) -> bool:
         work.not_sent += 1
@@ -195,14 +229,14 @@
         return True
 
     def _take_answer(
-        self, work: _Work, server: Server, choice: Choice, answer: ServerAnswer
+        self, work: _Work, server: Server, answer: ServerAnswer, seconds: float
     ) -> bool:
         now_s = self._clock.now_s()
         told = _parse_load(answer.find(self._dialect.load))
         if told is not None:
             server.note_load(told, now_s)
             if answer.status < 300:
-                server.note_work(work.server_ms / 1000.0, now_s)
+                server.note_work(seconds, now_s)
         if server.failures:
             server.note_success()
             self._backends.note_back(server, now_s)
@@ -227,7 +261,6 @@
             work,
             outcome,
             Answer(answer.status, answer.headers, answer.body),
-            choice,
         )
         return True
 
@@ -284,17 +317,22 @@
             path=request.path,
             service=service,
             key=request.affinity_key,
-            servers=work.tried if work else (),
             reason=work.reason if work else "",
-            load=round(choice.load, 2) if choice else None,
-            load_age_ms=_age_ms(choice),
-            rank=choice.rank if choice else None,
-            server_ms=round(work.server_ms, 1) if work else None,
-            total_ms=round(total_s * 1000.0, 1),
+            attempts=work.attempts if work else (),
+            refused_at_load=round(choice.load, 2) if choice else None,
+            retries_left=self._retries_left(work),
+            total_ms=_ms(total_s),
             time_left_ms=request.time_left_ms,
             routes_number=table.number if table else 0,
         )
 
+    def _retries_left(self, work: _Work | None) -> float | None:
+        """Return what is left of the service's retry budget if the request used or wanted it."""
+        if work is None or not work.reason:
+            return None
+        left = self._budget(work.service).left(self._member_count(), self._clock.now_s())
+        return round(left, 1)
+
     def _note_failure(self, server: Server, error: ExchangeError) -> None:
         server.note_failure(self._clock.now_s())
         self._log.event(
@@ -331,7 +369,8 @@
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = self._budgets[service] = RetryBudget(self._bounds, self._started_s)
+            budget = self._budgets[service] = RetryBudget(self.bounds, self._started_s)
+        budget.bounds = self.bounds
         return budget
 
 
@@ -339,10 +378,12 @@
     return (b"Retry-After", b"%.3f" % delay_s)
 
 
-def _age_ms(choice: Choice | None) -> float | None:
-    if choice is None or choice.told_age_s > 1e6:
-        return None
-    return round(choice.told_age_s * 1000.0, 1)
+def _ms(seconds: float) -> float:
+    return round(seconds * 1000.0, 1)
+
+
+def _age_ms(age_s: float) -> float | None:
+    return _ms(age_s) if math.isfinite(age_s) else None
 
 
 def _parse_load(value: bytes | None) -> ToldLoad | None:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -64,3 +64,11 @@
         )
         == []
     )
+
+
+def test_weak_members_are_left_out_while_enough_strong_ones_are_there() -> None:
+    strong = [member(f"m{number}", "za", "ra", capacity=0.7) for number in (1, 2)]
+    weak = [member(f"m{number}", "za", "ra", capacity=0.1) for number in (3, 4)]
+    assert offers(*strong, *weak) == ["1", "2"]
+    assert offers(strong[0], *weak) == ["1", "3"]
+    assert offers(*weak) == ["3", "4"]
