Add a fault soak of edge programs as processes

Change: soak/ starts edge programs on loopback with stand-ins of store and servers, proxies that delay, silence, cut and reset links, signals, and a seeded schedule; it checks at most once, true refusals, whole and own answers, losses, drains and configuration. Ruled out: nothing found yet.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,10 @@
 PYTHON = $(VENV)/bin/python
 STAMP = $(VENV)/.berylchute-stamp
 
-.PHONY: setup test lint demo
+SEEDS ?= 2
+SECONDS ?= 8
+
+.PHONY: setup test lint demo soak
 
 setup: $(STAMP)
 
@@ -13,8 +16,8 @@
 	touch $(STAMP)
 
 lint: setup
-	$(PYTHON) -m black --check --quiet berylchute platform lab tests
-	$(PYTHON) -m ruff check berylchute platform lab tests
+	$(PYTHON) -m black --check --quiet berylchute platform lab soak tests
+	$(PYTHON) -m ruff check berylchute platform lab soak tests
 	$(PYTHON) -m mypy
 
 test: setup
@@ -22,3 +25,6 @@
 
 demo: setup
 	$(PYTHON) -m lab.demo
+
+soak: setup
+	$(PYTHON) -m soak --seeds $(SEEDS) --seconds $(SECONDS) $(if $(FIRST),--first $(FIRST))
--- a/berylchute/callers.py
+++ b/berylchute/callers.py
@@ -303,6 +303,12 @@
         if not self._pending and self._message_started_s is None and not self.is_closed:
             self._end()
 
+    @property
+    def transport(self) -> asyncio.Transport:
+        """Return the connection's transport."""
+        assert self._transport is not None
+        return self._transport
+
     def check_time(self, now_s: float) -> None:
         """Close the connection if its caller is idle or too slow."""
         limits = self._server.limits
