Look at a kept connection before its use, and tell refused writes from lost answers

Cause: answers lost within a millisecond looked like sends on connections that were already reset. Change: a kept connection on which anything has arrived is not used; a first write that the socket refuses is a request that was not sent. Conclusion: kept for the races, each with a test that failed first.

--- a/berylchute/upstream.py
+++ b/berylchute/upstream.py
@@ -1,6 +1,7 @@
 """Carry one request at a time over kept HTTP/1.1 connections to backend servers."""
 
 import asyncio
+import select
 import socket
 from collections.abc import Callable
 from typing import cast
@@ -59,6 +60,7 @@
         self._request: UpstreamRequest | None = None
         self._answer: asyncio.Future[ServerAnswer] | None = None
         self._parser = httptools.HttpResponseParser(self)
+        self._poll = select.poll()
         self.is_usable = True
         self.idle_until_s = 0.0
         self._reset()
@@ -81,6 +83,10 @@
         self._request = request
         self._answer = asyncio.get_running_loop().create_future()
         transport.write(request.data)
+        if transport.is_closing():
+            # The socket refused the first bytes at once, so that none of them left this host.
+            self._answer = self._request = None
+            raise NotSent("connection was reset before the request was sent")
         try:
             answer = await self._answer
         except BaseException:
@@ -96,6 +102,14 @@
             transport.close()
         return answer
 
+    def is_quiet(self) -> bool:
+        """Tell whether nothing has arrived while the connection was idle.
+
+        A reset or the end of the stream may have arrived and not been read yet; a request sent
+        then would be lost, and nobody could tell whether it has run.
+        """
+        return not self._poll.poll(0)
+
     def abort(self) -> None:
         """Close the connection at once."""
         self.is_usable = False
@@ -108,6 +122,7 @@
         """Bound the time for which sent bytes may stay unacknowledged."""
         self._transport = cast(asyncio.Transport, transport)
         raw = transport.get_extra_info("socket")
+        self._poll.register(raw.fileno(), select.POLLIN)
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -260,7 +275,7 @@
         now_s = self._clock.now_s()
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_usable and connection.idle_until_s > now_s:
+            if connection.is_usable and connection.idle_until_s > now_s and connection.is_quiet():
                 return connection
             connection.abort()
         return None
--- a/tests/httpfakes.py
+++ b/tests/httpfakes.py
@@ -15,6 +15,9 @@
 
 
 class _Socket:
+    def fileno(self) -> int:
+        return 0
+
     def setsockopt(self, *options: int) -> None:
         """Accept any option."""
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -1,12 +1,13 @@
 """Guard the servers' side: an answer is whole and belongs to the request, or it is none."""
 
 import asyncio
+import time
 from collections.abc import Callable
 
 import pytest
 
 from berylchute.exceptions import AnswerInvalid, AnswerLost, ExchangeError, NotSent
-from berylchute.upstream import ServerAnswer, UpstreamRequest, _Connection
+from berylchute.upstream import ConnectionPool, ServerAnswer, UpstreamRequest, _Connection
 from tests.httpfakes import FakeTransport, ManualClock
 
 REQUEST = UpstreamRequest(b"id1", b"berylchute-request-id", False, b"GET / HTTP/1.1\r\n\r\n")
@@ -152,3 +153,45 @@
     world = _World()
     world.run(lambda: world.connection.data_received(_answer(headers="Connection: close\r\n")))
     assert not world.connection.is_usable
+
+
+def test_refused_write_has_sent_nothing() -> None:
+    world = _World()
+
+    def refuse(data: object) -> None:
+        world.transport.is_closed = True  # as asyncio does when the first send fails
+
+    world.transport.write = refuse  # type: ignore[method-assign]
+
+    async def main() -> None:
+        await world.connection.exchange(REQUEST)
+
+    with pytest.raises(NotSent):
+        asyncio.run(main())
+
+
+def test_kept_connection_that_was_reset_is_not_used() -> None:
+    async def main() -> None:
+        resets = asyncio.Event()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(_answer())
+            if not resets.is_set():
+                await resets.wait()
+                writer.transport.abort()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        pool = ConnectionPool(f"127.0.0.1:{port}", ManualClock(), 4)
+        await pool.exchange(REQUEST)
+        resets.set()
+        # The reset arrives while the loop is busy, so that it has not been read yet.
+        asyncio.get_running_loop().call_soon(time.sleep, 0.05)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        answer = await pool.exchange(REQUEST)
+        assert answer.status == 200 and pool.opened == 2
+        server.close()
+
+    asyncio.run(main())
