Publish kept entries below the lists of later revisions

Four machines were cut off from store and members; on its return one kept the servers that had left meanwhile as lapsed, and published the list at the store's newest revision, so that members who knew better took it. Change: a list with kept entries counts on from the last whole list of its member. Ruled out: a watch that nobody followed (three members did, the log shows); the hold itself, which outages of the whole store need. Conclusion: fixed where the mechanism lies.

--- a/berylchute/collection.py
+++ b/berylchute/collection.py
@@ -25,6 +25,8 @@
 WANTED_CHECK_S = 0.2
 # Servers whose entries lapsed while the store was away register again within this time.
 LAPSE_GRACE_S = 2.2
+# Object versions between two revisions of the store, for lists that keep lapsed entries.
+VERSIONS_A_REVISION = 4096
 
 Entry = object
 
@@ -91,6 +93,8 @@
         self._entries: dict[str, Entry] = {}
         self._lapsed: dict[str, Entry] = {}
         self._revision = 0
+        self._whole_revision = 0
+        self._provisional = 0
         self._is_current = False
         self._was_away = False
         self._back_s = float("-inf")
@@ -163,8 +167,13 @@
         value = self._collection.combine({**self._lapsed, **self._entries})
         if value is None:
             return
-        # A list without lapsed entries replaces one with them at the same revision.
-        version = 2 * self._revision + (not self._lapsed)
+        if self._lapsed:
+            # Members that were not cut off know better, from a later revision than the last whole
+            # list here; their lists must not be replaced.
+            self._provisional = min(self._provisional + 1, VERSIONS_A_REVISION - 1)
+        else:
+            self._whole_revision, self._provisional = self._revision, 0
+        version = self._whole_revision * VERSIONS_A_REVISION + self._provisional
         self._publish(StoredObject(self._collection.key, version, encode(value)))
 
     def _regain(self) -> None:
--- a/tests/test_collection.py
+++ b/tests/test_collection.py
@@ -6,7 +6,14 @@
 import anyio
 import pytest
 
-from berylchute.collection import LAPSE_GRACE_S, Changes, Collection, CollectionFeed, Listing
+from berylchute.collection import (
+    LAPSE_GRACE_S,
+    VERSIONS_A_REVISION,
+    Changes,
+    Collection,
+    CollectionFeed,
+    Listing,
+)
 from berylchute.exceptions import HistoryGone, StoreUnavailable
 from berylchute.services import ZoneDrains
 from berylchute.types import StoredObject
@@ -86,8 +93,8 @@
     published, store, _ = _play((0, _both(5)), (0, Changes({"b": None, "c": "c"}, 7)))
     assert store.calls == ["read", "watch 5"]
     assert [(item.version, item.value) for item in published] == [
-        (11, b'{"availability_zones":["a","b"]}'),
-        (15, b'{"availability_zones":["a","c"]}'),
+        (5 * VERSIONS_A_REVISION, b'{"availability_zones":["a","b"]}'),
+        (7 * VERSIONS_A_REVISION, b'{"availability_zones":["a","c"]}'),
     ]
 
 
@@ -128,3 +135,20 @@
     assert feed.is_in_touch
     _, _, feed = _play((0, _both(5)), (0, StoreUnavailable("down")))
     assert feed.has_answered and not feed.is_in_touch
+
+
+def test_kept_entries_do_not_replace_what_members_learned_meanwhile() -> None:
+    # This member alone was cut off; the others saw at revision 6 that b had left.
+    published, _, _ = _play(
+        (0, _both(5)),
+        (0, StoreUnavailable("cut off")),
+        (8.0, HistoryGone("x")),
+        (0, Listing({"a": "a", "c": "c"}, 9)),
+        (0.5, Changes({"d": "d"}, 10)),
+        (LAPSE_GRACE_S, Changes({}, 10)),
+    )
+    first, second, last = published[-3:]
+    assert b'"b"' in first.value and b'"b"' in second.value and b'"b"' not in last.value
+    known_to_others = 6 * VERSIONS_A_REVISION
+    assert 5 * VERSIONS_A_REVISION < first.version < second.version < known_to_others
+    assert last.version == 10 * VERSIONS_A_REVISION
