--- a/berylchute/commands.py
+++ b/berylchute/commands.py
@@ -174,7 +174,7 @@
 
 
 def exit_code_of(error: BerylchuteError) -> int:
-    """Return the exit code that docs/operations.md lists for an error."""
+    """Return the exit code that docs/OPERATIONS.md lists for an error."""
     if isinstance(error, ConflictError):
         return EXIT_CONFLICT
     if isinstance(error, UnreachableError | HostUnreachable):
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -58,7 +58,8 @@
                 self._pump(reader, far_writer, is_answer=False),
                 self._pump(far_reader, writer, is_answer=True),
             )
-        except OSError:
+        except (OSError, asyncio.CancelledError):
+            # The streams of asyncio log a connection's task that is cancelled with its loop.
             for each in pair:
                 each.transport.abort()
         finally:
--- a/soak/standins.py
+++ b/soak/standins.py
@@ -132,6 +132,7 @@
     spoil_ratio: float = 0.0
     is_slow: bool = False
     is_draining: bool = False
+    is_down: bool = False
     born_ms: int = attrs.Factory(lambda: int(time.time() * 1000))
     _http: CallerServer | None = None
     _tasks: set[asyncio.Task[None]] = attrs.Factory(set)
--- a/soak/world.py
+++ b/soak/world.py
@@ -223,7 +223,11 @@
         await server.register(self._store)
 
     def _pick_server(self) -> ServerStandIn | None:
-        ready = [server for server in self._servers.values() if not server.is_draining]
+        ready = [
+            server
+            for server in self._servers.values()
+            if not server.is_draining and not server.is_down
+        ]
         return self._rng.choice(ready) if len(ready) > len(SERVICES) * 2 else None
 
     async def _crash_server(self) -> None:
@@ -233,9 +237,11 @@
         for_s = self._rng.uniform(0.3, 2.0)
         self._disturb("servers", "crash", for_s)
         server.crash()
+        server.is_down = True
         await asyncio.sleep(for_s)
         server.born_ms = int(time.time() * 1000)
         await server.start()
+        server.is_down = False
         await server.register(self._store)
 
     async def _drain_server(self) -> None:
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -21,7 +21,7 @@
 
 def test_operations_page_lists_every_refusal() -> None:
     """Guards against an error code without a page section."""
-    page = (ROOT / "docs/operations.md").read_text("utf-8")
+    page = (ROOT / "docs/OPERATIONS.md").read_text("utf-8")
     missing = [code.value for code in RefusalCode if f"| `{code.value}` |" not in page]
     assert missing == []
 
@@ -33,13 +33,13 @@
     used = set(re.findall(r"berylchute_[a-z_]+", rules))
     bases = {re.sub(r"_(bucket|sum|count)$", "", name) for name in used - known}
     assert bases <= known
-    page = (ROOT / "docs/operations.md").read_text("utf-8")
+    page = (ROOT / "docs/OPERATIONS.md").read_text("utf-8")
     anchors = {
         re.sub(r"[^a-z0-9 -]", "", line.lstrip("# ").lower()).replace(" ", "-")
         for line in page.splitlines()
         if line.startswith("#")
     }
-    linked = re.findall(r"docs/operations\.md#([a-z0-9-]+)", rules)
+    linked = re.findall(r"docs/OPERATIONS\.md#([a-z0-9-]+)", rules)
     assert linked and set(linked) <= anchors
 
 
