Collect the edge program's state as metrics and list them

Cause: gauges were added in the composition, so that the page could not be checked; store calls, members and connections were not counted. Ruled out: nothing.

--- a/berylchute/backends.py
+++ b/berylchute/backends.py
@@ -137,7 +137,6 @@
         self._orders: dict[tuple[str, str, bool], tuple[Server, ...]] = {}
         self._policies: dict[str, ServicePolicy] = {}
         self._drained_zones: frozenset[str] = frozenset()
-        self._known_since_s: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._servers)
@@ -251,13 +250,9 @@
         for server in self._servers.values():
             server.pool.close_expired()
 
-    def loads(self) -> Mapping[str, float]:
-        """Return the estimated requests at each service's servers."""
-        now_s = self._clock.now_s()
-        return {
-            service: sum(server.load(now_s) for server in servers)
-            for service, servers in self._by_service.items()
-        }
+    def connections_opened(self) -> int:
+        """Return the connections opened so far to the servers that are known now."""
+        return sum(server.pool.opened for server in self._servers.values())
 
     def _add(self, entry: ServerEntry) -> Server:
         policy = self._policies.get(entry.service)
--- a/berylchute/collection.py
+++ b/berylchute/collection.py
@@ -98,6 +98,8 @@
         self._is_current = False
         self._was_away = False
         self._back_s = float("-inf")
+        self.calls = 0
+        self.failures = 0
         self.has_answered = False
         self.is_in_touch = False
         self.answered_s = float("-inf")
@@ -110,12 +112,14 @@
                 self.is_in_touch = False
                 await anyio.sleep(WANTED_CHECK_S)
                 continue
+            self.calls += 1
             try:
                 await self._step()
             except HistoryGone as error:
                 _LOG.info("%s: %s", self._collection.name, error)
                 self._is_current = False
             except StoreError as error:
+                self.failures += 1
                 self._lose(error)
                 await anyio.sleep(self._backoff.next_delay_s())
 
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -3,6 +3,7 @@
 import logging
 import signal
 import time
+from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from hashlib import blake2b
 from random import Random
@@ -17,7 +18,7 @@
 from berylchute.collection import Collection, CollectionFeed, CollectionStore
 from berylchute.dialect import Dialect
 from berylchute.directory import Directory
-from berylchute.edgemetrics import EdgeMetrics
+from berylchute.edgemetrics import EdgeMetrics, EdgeState
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import ConfigError, SettingsError
 from berylchute.membership import Timing
@@ -121,7 +122,7 @@
         self._servers = {settings.node.listen.http: self._callers}
         self._is_stopping = False
         self._members: Sequence[MemberStatus] = ()
-        self._add_gauges()
+        self._metrics.read_state = self._state
         if settings.metrics:
             self.listen(settings.metrics, self._answer_metrics)
 
@@ -303,32 +304,20 @@
         headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
         pending.respond(Answer(200, headers, self._metrics.render()))
 
-    def _add_gauges(self) -> None:
-        gauge = self._metrics.gauge
-        gauge(
-            "berylchute_edge_requests_in_flight_count",
-            "Requests that this process carries now.",
-            lambda: self._steering.in_flight,
-        )
-        gauge(
-            "berylchute_edge_routes_number",
-            "Number of the route table in force; 0 before one is known.",
-            lambda: self._routes.table.number if self._routes.table else 0,
-        )
-        gauge(
-            "berylchute_edge_servers_count",
-            "Backend servers known to this process.",
-            lambda: len(self._backends),
-        )
-        gauge(
-            "berylchute_edge_store_silence_seconds",
-            "Time since the store last answered this process.",
-            lambda: self._clock.now_s() - max(feed.answered_s for feed in self._feeds),
-        )
-        gauge(
-            "berylchute_edge_log_lines_dropped_count",
-            "Log lines dropped because the reader was behind or there were too many.",
-            lambda: self._log.dropped_full + self._log.dropped_rate,
+    def _state(self) -> EdgeState:
+        """Return what metrics show."""
+        table = self._routes.table
+        return EdgeState(
+            requests_in_flight=self._steering.in_flight,
+            routes_number=table.number if table else 0,
+            servers=len(self._backends),
+            members=Counter(status.state.value for status in self._node.members.statuses()),
+            store_silence_s=self._clock.now_s() - max(feed.answered_s for feed in self._feeds),
+            store_calls=sum(feed.calls for feed in self._feeds),
+            store_failures=sum(feed.failures for feed in self._feeds),
+            connections_opened=self._backends.connections_opened(),
+            log_lines_dropped_full=self._log.dropped_full,
+            log_lines_dropped_rate=self._log.dropped_rate,
         )
 
 
--- a/berylchute/edgemetrics.py
+++ b/berylchute/edgemetrics.py
@@ -1,20 +1,111 @@
 """Define the metrics of the edge program."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+import attrs
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client.metrics_core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
 
-__all__ = ["EdgeMetrics"]
+from berylchute.types import MemberState
+
+__all__ = ["EdgeMetrics", "EdgeState"]
 
 # From a request that is refused at once to the longest time budget of 10 s.
 _BUCKETS_S = (0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 2, 3, 5, 10)
 
 
+@attrs.frozen
+class EdgeState:
+    """What the edge program knows of itself when metrics are asked for."""
+
+    requests_in_flight: int = 0
+    routes_number: int = 0
+    servers: int = 0
+    members: Mapping[str, int] = attrs.field(factory=dict)
+    store_silence_s: float = 0.0
+    store_calls: int = 0
+    store_failures: int = 0
+    connections_opened: int = 0
+    log_lines_dropped_full: int = 0
+    log_lines_dropped_rate: int = 0
+
+
+class _StateCollector(Collector):
+    """Read the state of the edge program when metrics are asked for."""
+
+    def __init__(self, read: Callable[[], EdgeState]) -> None:
+        self._read = read
+
+    def collect(self) -> Iterable[Metric]:
+        """Return gauges of the present state, and counters that other parts keep."""
+        state = self._read()
+        members = GaugeMetricFamily(
+            "berylchute_edge_members_count", "Members known by state.", None, ("state",)
+        )
+        for name in MemberState:
+            members.add_metric([name.value], state.members.get(name.value, 0))
+        dropped = CounterMetricFamily(
+            "berylchute_edge_log_lines_dropped",
+            "Log lines dropped by reason (buffer_full, over_rate).",
+            None,
+            ("reason",),
+        )
+        dropped.add_metric(["buffer_full"], state.log_lines_dropped_full)
+        dropped.add_metric(["over_rate"], state.log_lines_dropped_rate)
+        return [members, dropped, *_gauges(state), *_counters(state)]
+
+
+def _gauges(state: EdgeState) -> list[Metric]:
+    return [
+        GaugeMetricFamily(
+            "berylchute_edge_requests_in_flight_count",
+            "Requests that this process carries now.",
+            state.requests_in_flight,
+        ),
+        GaugeMetricFamily(
+            "berylchute_edge_routes_number",
+            "Number of the route table in force; 0 before one is known.",
+            state.routes_number,
+        ),
+        GaugeMetricFamily(
+            "berylchute_edge_servers_count",
+            "Backend servers known to this process.",
+            state.servers,
+        ),
+        GaugeMetricFamily(
+            "berylchute_edge_store_silence_seconds",
+            "Time since the store last answered this process.",
+            state.store_silence_s,
+        ),
+    ]
+
+
+def _counters(state: EdgeState) -> list[Metric]:
+    return [
+        CounterMetricFamily(
+            "berylchute_edge_store_calls", "Calls to the store.", state.store_calls
+        ),
+        CounterMetricFamily(
+            "berylchute_edge_store_call_failures",
+            "Calls to the store that ended without a usable answer.",
+            state.store_failures,
+        ),
+        CounterMetricFamily(
+            "berylchute_edge_server_connections",
+            "Connections opened to backend servers that are known now.",
+            state.connections_opened,
+        ),
+    ]
+
+
 class EdgeMetrics:
     """Hold the metrics of one process in their own registry."""
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        self.read_state: Callable[[], EdgeState] = EdgeState
+        self.registry.register(_StateCollector(lambda: self.read_state()))
         self._requests = Counter(
             "berylchute_edge_requests_total",
             "Finished requests by service and outcome.",
@@ -46,10 +137,6 @@
         self._children: dict[tuple[str, str], Counter] = {}
         self._histograms: dict[str, Histogram] = {}
 
-    def gauge(self, name: str, meaning: str, read: Callable[[], float]) -> None:
-        """Add a gauge that is read when metrics are asked for."""
-        Gauge(name, meaning, registry=self.registry).set_function(read)
-
     def note_end(self, service: str, outcome: str, reason: str, total_s: float) -> None:
         """Count one finished request."""
         child = self._children.get((service, outcome))
--- a/lab/reference.py
+++ b/lab/reference.py
@@ -1,5 +1,6 @@
 """Print the reference tables of docs/metrics.md from the code: `python -m lab.reference`."""
 
+from berylchute.edgemetrics import EdgeMetrics
 from berylchute.metrics import Metrics
 
 __all__ = ["metric_rows"]
@@ -8,7 +9,8 @@
 def metric_rows() -> list[str]:
     """Return one table row per metric of the programs."""
     rows = []
-    for metric in Metrics().registry.collect():
+    collected = [*Metrics().registry.collect(), *EdgeMetrics().registry.collect()]
+    for metric in collected:
         name = f"{metric.name}_total" if metric.type == "counter" else metric.name
         rows.append(f"| `{name}` | {metric.type} | {metric.documentation} |")
     return sorted(rows)
