--- a/soak/standins.py
+++ b/soak/standins.py
@@ -209,8 +209,11 @@
         else:
             pending.respond(Answer(200, (*headers, stamp), body))
             if chance > 1.0 - self.spoil_ratio:
-                # A second answer to the same request, where the next one is due.
-                pending.connection.transport.write(
+                # A second answer to the same request, often where the next one is due.
+                late = (
                     b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: x\r\n"
                     b"Content-Length: 5\r\n\r\nextra" % headers[0][1]
                 )
+                transport = pending.connection.transport
+                delay_s = self.rng.uniform(0.0, 0.2)
+                asyncio.get_running_loop().call_later(delay_s, transport.write, late)
