--- a/soak/records.py
+++ b/soak/records.py
@@ -44,7 +44,7 @@
 
 @attrs.frozen
 class Disturbance:
-    """A fault on `scope` (the name of an edge or server, or `store`); planned ones excuse no loss."""
+    """A fault on `scope`: an edge, a server, or `store`; planned ones excuse no loss."""
 
     scope: str
     kind: str
