Count cold time from the arrival of an entry's change; split the edge's composition

Change: entries carry the seconds that were left, counted from their arrival; Edge.__init__ is split.

--- a/berylchute/backends.py
+++ b/berylchute/backends.py
@@ -122,7 +122,6 @@
     def __init__(
         self,
         clock: Clock,
-        wall_minus_clock_s: float,
         zone: str = "",
         zone_regions: Mapping[str, str] | None = None,
     ) -> None:
@@ -131,7 +130,6 @@
         self._region = (zone_regions or {}).get(zone, "")
         self._zone_regions = zone_regions or {}
         self._shares: dict[str, tuple[RegionShare, ...]] = {}
-        self._wall_minus_clock_s = wall_minus_clock_s
         self._servers: dict[str, Server] = {}
         self._by_service: dict[str, tuple[Server, ...]] = {}
         self._orders: dict[tuple[str, str, bool], tuple[Server, ...]] = {}
@@ -158,11 +156,10 @@
                 if server is not None:
                     _retire(server)
                 server = self._add(entry)
+            # Counted from the arrival of a change: clocks of machines may differ or be set.
+            if entry.cold_s and (server.entry is entry or entry.cold_s != server.entry.cold_s):
+                server.cold_until_s = max(server.cold_until_s, self._clock.now_s() + entry.cold_s)
             server.entry = entry
-            if entry.cold_until_ms:
-                server.cold_until_s = max(
-                    server.cold_until_s, entry.cold_until_ms / 1000.0 - self._wall_minus_clock_s
-                )
             kept[entry.server_id] = server
         for server_id, server in self._servers.items():
             if server_id not in kept:
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -2,7 +2,6 @@
 
 import logging
 import signal
-import time
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from hashlib import blake2b
@@ -91,7 +90,6 @@
         self._routes = RouteBook()
         self._backends = Backends(
             self._clock,
-            time.time() - self._clock.now_s(),
             settings.node.host.availability_zone,
             settings.zone_regions,
         )
@@ -104,8 +102,18 @@
             )
             for collection in collections
         ]
-        self._steering = Steering(
-            dialect=settings.dialect,
+        self._steering = self._compose_steering()
+        self._callers = CallerServer(self._steering.handle, self._clock, settings.dialect)
+        self._servers = {settings.node.listen.http: self._callers}
+        self._is_stopping = False
+        self._members: Sequence[MemberStatus] = ()
+        self._metrics.read_state = self._state
+        if settings.metrics:
+            self.listen(settings.metrics, self._answer_metrics)
+
+    def _compose_steering(self) -> Steering:
+        return Steering(
+            dialect=self._settings.dialect,
             routes=self._routes,
             backends=self._backends,
             selector=Selector(self._backends, self._is_cold_sender),
@@ -114,17 +122,10 @@
             rng=self._rng,
             log=self._log,
             metrics=self._metrics,
-            bounds=settings.retries,
+            bounds=self._settings.retries,
             member_count=lambda: len(self._node.members.statuses()),
-            region_of_zone=lambda zone: settings.zone_regions.get(zone, ""),
+            region_of_zone=lambda zone: self._settings.zone_regions.get(zone, ""),
         )
-        self._callers = CallerServer(self._steering.handle, self._clock, settings.dialect)
-        self._servers = {settings.node.listen.http: self._callers}
-        self._is_stopping = False
-        self._members: Sequence[MemberStatus] = ()
-        self._metrics.read_state = self._state
-        if settings.metrics:
-            self.listen(settings.metrics, self._answer_metrics)
 
     @property
     def is_ready(self) -> bool:
--- a/berylchute/services.py
+++ b/berylchute/services.py
@@ -106,7 +106,8 @@
 class ServerEntry:
     """What a backend server registered of itself.
 
-    `cold_until_ms` and `started_ms` are Unix milliseconds; 0 means not cold and not told.
+    `cold_s` is how long it stays cold, counted from when the entry was written; `started_ms` is in
+    Unix milliseconds of the server's own clock, 0 where it is not told.
     """
 
     server_id: str
@@ -115,7 +116,7 @@
     availability_zone: str
     slots: int
     is_draining: bool
-    cold_until_ms: int = 0
+    cold_s: float = 0.0
     started_ms: int = 0
 
 
--- a/berylchute/upstream.py
+++ b/berylchute/upstream.py
@@ -63,6 +63,7 @@
         self._poll = select.poll()
         self.is_usable = True
         self.idle_until_s = 0.0
+        self._idle_s = IDLE_DEFAULT_S
         self._reset()
 
     def _reset(self) -> None:
@@ -70,7 +71,6 @@
         self._body: list[bytes] = []
         self._bytes = 0
         self._ends_with_connection = False
-        self._is_in_message = False
 
     async def exchange(self, request: UpstreamRequest) -> ServerAnswer:
         """Send a request and return its answer; raise NotSent, AnswerLost or AnswerInvalid.
@@ -158,7 +158,6 @@
         if self._answer is not None and self._answer.done():
             self.is_usable = False
         self._reset()
-        self._is_in_message = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header."""
@@ -191,7 +190,6 @@
 
     def on_message_complete(self) -> None:
         """Take a whole answer."""
-        self._is_in_message = False
         if not self._is_done() and self._parser.get_status_code() >= 200:
             self._complete()
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -6,8 +6,6 @@
 from berylchute.services import CallerLimits, RouteTable, ServerEntry, ServerList, ServicePolicy
 from tests.httpfakes import ManualClock
 
-WALL_S = 1_000_000.0
-
 
 def entry(name: str, **changes: object) -> ServerEntry:
     fields: dict[str, object] = {
@@ -23,7 +21,7 @@
 
 
 def make(clock: ManualClock, *entries: ServerEntry) -> Backends:
-    backends = Backends(clock, WALL_S - clock.now)
+    backends = Backends(clock)
     policy = ServicePolicy("s", 390, warmup_s=3.0, cold_rate_per_s=10.0)
     backends.configure(RouteTable(1, (), (policy,), CallerLimits()))
     backends.apply(ServerList(entries))
@@ -103,11 +101,23 @@
     assert server.is_cold(clock.now + 2.9) and not server.is_cold(clock.now + 3.1)
 
 
-def test_cold_time_comes_from_the_entry_and_is_paced() -> None:
+def test_cold_time_counts_from_the_arrival_of_a_change() -> None:
     clock = ManualClock()
-    backends = make(clock, entry("i-1", cold_until_ms=int((WALL_S + 2.0) * 1000)))
+    backends = make(clock, entry("i-1", cold_s=2.0))
     server = backends.of_service("s")[0]
     assert server.is_cold(clock.now + 1.9) and not server.is_cold(clock.now + 2.1)
+    # The same entry in a later list says nothing new; a changed one does.
+    clock.now += 1.5
+    backends.apply(ServerList((entry("i-1", cold_s=2.0),)))
+    assert not server.is_cold(clock.now + 0.6)
+    backends.apply(ServerList((entry("i-1", cold_s=1.0),)))
+    assert server.is_cold(clock.now + 0.9) and not server.is_cold(clock.now + 1.1)
+
+
+def test_cold_server_is_paced() -> None:
+    clock = ManualClock()
+    backends = make(clock, entry("i-1", cold_s=2.0))
+    server = backends.of_service("s")[0]
     sends = sum(backends.take_cold_send(server, clock.now + step / 100) for step in range(100))
     # Two members may both believe that they send; together they stay below the rate and a half.
     assert 5 <= sends <= 8
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -88,10 +88,10 @@
 
 def test_server_entry() -> None:
     entry = read_document("servers", "i-1", SERVER)
-    assert entry == ServerEntry("i-1", "x", "10.128.0.9:8080", "za", 4, False, 0, 1700000000000)
+    assert entry == ServerEntry("i-1", "x", "10.128.0.9:8080", "za", 4, False, 0.0, 1700000000000)
     cold = {**SERVER, "status": {"state": "draining", "seq": 4, "cold-remaining-s": 2.5}}
     entry = read_document("servers", "i-1", cold)
-    assert isinstance(entry, ServerEntry) and entry.is_draining and entry.cold_until_ms > 0
+    assert isinstance(entry, ServerEntry) and entry.is_draining and entry.cold_s == 2.5
     assert make_servers({"i-1": entry}).entries == (entry,)
 
 
