--- /dev/null
+++ b/berylchute/duties.py
@@ -0,0 +1,43 @@
+"""Decide which members do what only one or a few of them should do, without asking each other."""
+
+from collections.abc import Sequence
+from hashlib import blake2b
+
+from berylchute.types import MemberState, MemberStatus
+
+__all__ = ["WATCHERS", "is_cold_sender", "is_watcher"]
+
+# Members that follow the store and tell the others; more survive cuts, each costs calls.
+WATCHERS = 4
+
+
+def is_watcher(own: str, statuses: Sequence[MemberStatus]) -> bool:
+    """Tell whether fewer than WATCHERS members that come before `own` follow the store.
+
+    Members that lost the store do not count, so that the next in order take over.
+    """
+    rank = _weight("watch", own)
+    before = (
+        status
+        for status in statuses
+        if status.state is MemberState.LIVE
+        and status.record.watching
+        and status.record.host_id != own
+        and _weight("watch", status.record.host_id) > rank
+    )
+    return sum(1 for _ in before) < WATCHERS
+
+
+def is_cold_sender(own: str, server_id: str, statuses: Sequence[MemberStatus]) -> bool:
+    """Tell whether `own` is the member that sends to a cold server."""
+    live = [
+        status.record.host_id
+        for status in statuses
+        if status.state is MemberState.LIVE and not status.record.leaving
+    ]
+    chosen = max(live, key=lambda host_id: _weight(server_id, host_id), default=own)
+    return chosen == own
+
+
+def _weight(key: str, host_id: str) -> bytes:
+    return blake2b(f"{key}/{host_id}".encode(), digest_size=8).digest()
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -4,7 +4,6 @@
 import signal
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
-from hashlib import blake2b
 from random import Random
 
 import anyio
@@ -17,6 +16,7 @@
 from berylchute.collection import Collection, CollectionFeed, CollectionStore
 from berylchute.dialect import Dialect
 from berylchute.directory import Directory
+from berylchute.duties import is_cold_sender, is_watcher
 from berylchute.edgemetrics import EdgeMetrics, EdgeState
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import ConfigError, SettingsError
@@ -28,7 +28,7 @@
 from berylchute.services import SHARED_KEYS, RouteTable, ServerList, ZoneDrains, decode
 from berylchute.settings import Settings
 from berylchute.steering import Steering
-from berylchute.types import MemberState, MemberStatus, StoredObject
+from berylchute.types import MemberStatus, StoredObject
 
 __all__ = ["Edge", "EdgeSettings"]
 
@@ -36,8 +36,6 @@
 LOG_FLUSH_S = 0.2
 # Messages between members cost more processor time than requests at the default periods.
 MEMBER_TIMING = Timing(heartbeat_s=0.5, suspect_s=1.6, digest_s=1.0, pause_s=1.2)
-# Members that follow the store and tell the others; more survive cuts, each costs calls.
-WATCHERS = 4
 # After the stop signal, callers are still served as before for this long, until most have asked
 # the directory again.
 STOP_CLOSE_DELAY_S = 1.0
@@ -199,28 +197,10 @@
         self._node.receive_object(stored)
 
     def _is_watch_wanted(self) -> bool:
-        """Tell whether fewer than WATCHERS members that come before this one follow the store."""
-        own = self._node.record.host_id
-        rank = _weight("watch", own)
-        before = (
-            status
-            for status in self._node.members.statuses()
-            if status.state is MemberState.LIVE
-            and status.record.watching
-            and status.record.host_id != own
-            and _weight("watch", status.record.host_id) > rank
-        )
-        return sum(1 for _ in before) < WATCHERS
+        return is_watcher(self._node.record.host_id, self._node.members.statuses())
 
     def _is_cold_sender(self, server_id: str) -> bool:
-        """Tell whether this member is the one that sends to a cold server."""
-        live = [
-            status.record.host_id
-            for status in self._node.members.statuses()
-            if status.state is MemberState.LIVE and not status.record.leaving
-        ]
-        own = self._node.record.host_id
-        return max(live, key=lambda host_id: _weight(server_id, host_id), default=own) == own
+        return is_cold_sender(self._node.record.host_id, server_id, self._node.members.statuses())
 
     async def _report_forever(self) -> None:
         is_ready = is_watching = False
@@ -320,7 +300,3 @@
             log_lines_dropped_full=self._log.dropped_full,
             log_lines_dropped_rate=self._log.dropped_rate,
         )
-
-
-def _weight(key: str, host_id: str) -> bytes:
-    return blake2b(f"{key}/{host_id}".encode(), digest_size=8).digest()
