Start one process for an edge when faults overlap, and end all of them

Two kills of one edge each started a process; one was never ended, and three such edges of soaks at 11:50 and 11:59 still ran. They gossiped to ports that the new soak used and gave its edges their own server list (revision 25 where the store was at 20), whose servers no longer listened. The three processes were ended by id. Ruled out: drained zones and lost lists (edges knew nine servers and no drained zone).

--- a/soak/world.py
+++ b/soak/world.py
@@ -32,6 +32,7 @@
     zone: str
     ports: list[int]
     process: asyncio.subprocess.Process | None = None
+    starting: asyncio.Lock = attrs.Factory(asyncio.Lock)
 
 
 class SoakWorld:
@@ -51,6 +52,7 @@
         self._ports = ports
         self._servers: dict[str, ServerStandIn] = {}
         self._proxies: dict[str, Proxy] = {}
+        self._processes: list[asyncio.subprocess.Process] = []
         self._server_count = 0
         self._version = 0
         self._servers_wanted, self._callers_wanted = servers, callers
@@ -64,12 +66,12 @@
         await self._change_routes()
         try:
             for edge in self._edges:
-                await self._start_edge(edge)
+                await self._replace_process(edge, None)
             await asyncio.sleep(START_S)
             end_s = time.monotonic() + seconds
             await asyncio.gather(*self._callers(end_s), self._play_faults(end_s - 2.0))
         finally:
-            await asyncio.gather(*(self._end(edge) for edge in self._edges))
+            await asyncio.gather(*(_end(process) for process in self._processes))
             self._store_proxy.close()
 
     def _callers(self, end_s: float) -> list[Awaitable[None]]:
@@ -109,6 +111,14 @@
 
     # edges
 
+    async def _replace_process(self, edge: _Edge, ended: asyncio.subprocess.Process | None) -> None:
+        """Start an edge in place of a process that ended, unless another fault has done so."""
+        async with edge.starting:
+            if edge.process is ended:
+                await self._start_edge(edge)
+                assert edge.process is not None
+                self._processes.append(edge.process)
+
     async def _start_edge(self, edge: _Edge) -> None:
         settings = self._out / f"{edge.name}.conf"
         address = [f"127.0.0.1:{port}" for port in edge.ports]
@@ -137,10 +147,6 @@
         edge.process.send_signal(number)
         return True
 
-    async def _end(self, edge: _Edge) -> None:
-        if self._signal(edge, signal.SIGKILL) and edge.process is not None:
-            await edge.process.wait()
-
     async def _stop_edge(self) -> None:
         edge = self._rng.choice(self._edges)
         process = edge.process
@@ -152,9 +158,8 @@
                 await process.wait()
         except TimeoutError:
             self._disturb(edge.name, "stop took too long", 1.0)
-            await self._end(edge)
-        if edge.process is process:
-            await self._start_edge(edge)
+            await _end(process)
+        await self._replace_process(edge, process)
 
     async def _kill_edge(self) -> None:
         edge = self._rng.choice(self._edges)
@@ -164,8 +169,7 @@
         self._disturb(edge.name, "kill", 1.0)
         await process.wait()
         await asyncio.sleep(0.3)
-        if edge.process is process:
-            await self._start_edge(edge)
+        await self._replace_process(edge, process)
 
     async def _pause_edge(self) -> None:
         edge = self._rng.choice(self._edges)
@@ -303,3 +307,10 @@
         await self._store.put("evacuations", zone, {})
         await asyncio.sleep(self._rng.uniform(1.0, 3.0))
         await self._store.delete("evacuations", zone)
+
+
+async def _end(process: asyncio.subprocess.Process) -> None:
+    """Kill a process that the soak started, if it still runs."""
+    if process.returncode is None:
+        process.kill()
+        await process.wait()
