Promise "not run" only where no attempt may have run, and pass a failure on after a vain repeat

Cause: the reason of the last attempt decided whether a request was refused. A lost answer or a failure followed by a refused or unsent repeat ended in 503, which promises that nothing ran; a server's failure that was held for the repeat was replaced by our own answer. Change: the request remembers that an attempt may have run, and the failure, which is passed on where its repeat is refused, lost or out of time. Only idempotent requests are concerned: others are not repeated. Tests: five cases in tests/test_steering.py, red before. Ruled out: nothing.

--- a/berylchute/backends.py
+++ b/berylchute/backends.py
@@ -135,6 +135,7 @@
         self._orders: dict[tuple[str, str, bool], tuple[Server, ...]] = {}
         self._policies: dict[str, ServicePolicy] = {}
         self._drained_zones: frozenset[str] = frozenset()
+        self._opened_to_gone = 0
 
     def __len__(self) -> int:
         return len(self._servers)
@@ -154,7 +155,7 @@
             server = self._servers.get(entry.server_id)
             if server is None or _is_other_process(server.entry, entry):
                 if server is not None:
-                    _retire(server)
+                    self._retire(server)
                 server = self._add(entry)
             # Counted from the arrival of a change: clocks of machines may differ or be set.
             if entry.cold_s and (server.entry is entry or entry.cold_s != server.entry.cold_s):
@@ -163,7 +164,7 @@
             kept[entry.server_id] = server
         for server_id, server in self._servers.items():
             if server_id not in kept:
-                _retire(server)
+                self._retire(server)
         self._servers = kept
         self._index()
 
@@ -248,8 +249,8 @@
             server.pool.close_expired()
 
     def connections_opened(self) -> int:
-        """Return the connections opened so far to the servers that are known now."""
-        return sum(server.pool.opened for server in self._servers.values())
+        """Return the connections opened so far, those to servers that are gone included."""
+        return self._opened_to_gone + sum(s.pool.opened for s in self._servers.values())
 
     def _add(self, entry: ServerEntry) -> Server:
         policy = self._policies.get(entry.service)
@@ -260,6 +261,11 @@
         )
         return Server(entry, ConnectionPool(entry.address, self._clock, connections_max))
 
+    def _retire(self, server: Server) -> None:
+        server.is_replaced = True
+        self._opened_to_gone += server.pool.opened
+        server.pool.close()
+
     def _index(self) -> None:
         by_service: dict[str, list[Server]] = {}
         for server in self._servers.values():
@@ -284,10 +290,5 @@
     return (old.address, old.started_ms, old.service) != (new.address, new.started_ms, new.service)
 
 
-def _retire(server: Server) -> None:
-    server.is_replaced = True
-    server.pool.close()
-
-
 def _weight(key: str, server: Server) -> bytes:
     return blake2b(f"{key}/{server.entry.server_id}".encode(), digest_size=8).digest()
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -299,4 +299,5 @@
             connections_opened=self._backends.connections_opened(),
             log_lines_dropped_full=self._log.dropped_full,
             log_lines_dropped_rate=self._log.dropped_rate,
+            log_lines_dropped_unwritable=self._log.dropped_unwritable,
         )
--- a/berylchute/edgemetrics.py
+++ b/berylchute/edgemetrics.py
@@ -29,6 +29,7 @@
     connections_opened: int = 0
     log_lines_dropped_full: int = 0
     log_lines_dropped_rate: int = 0
+    log_lines_dropped_unwritable: int = 0
 
 
 class _StateCollector(Collector):
@@ -47,12 +48,13 @@
             members.add_metric([name.value], state.members.get(name.value, 0))
         dropped = CounterMetricFamily(
             "berylchute_edge_log_lines_dropped",
-            "Log lines dropped by reason (buffer_full, over_rate).",
+            "Log lines dropped by reason (buffer_full, over_rate, unwritable).",
             None,
             ("reason",),
         )
         dropped.add_metric(["buffer_full"], state.log_lines_dropped_full)
         dropped.add_metric(["over_rate"], state.log_lines_dropped_rate)
+        dropped.add_metric(["unwritable"], state.log_lines_dropped_unwritable)
         return [members, dropped, *_gauges(state), *_counters(state)]
 
 
@@ -93,7 +95,7 @@
         ),
         CounterMetricFamily(
             "berylchute_edge_server_connections",
-            "Connections opened to backend servers that are known now.",
+            "Connections opened to backend servers.",
             state.connections_opened,
         ),
     ]
--- a/berylchute/eventlog.py
+++ b/berylchute/eventlog.py
@@ -29,12 +29,14 @@
         self._lines: deque[bytes] = deque()
         self._bytes = 0
         self._rest = b""
+        self._rest_lines = 0
         self._encode = msgspec.json.Encoder(enc_hook=str).encode
         self._second = 0
         self._request_lines = 0
         self.written = 0
         self.dropped_full = 0
         self.dropped_rate = 0
+        self.dropped_unwritable = 0
         self._reported_dropped = 0
         os.set_blocking(file_descriptor, False)
 
@@ -73,20 +75,26 @@
                     size += len(chunk[-1])
                 self._bytes -= size
                 self._rest = b"".join(chunk)
+                self._rest_lines = len(chunk)
             try:
                 done = os.write(self._fd, self._rest)
             except BlockingIOError:
                 return
             except OSError:
-                self._rest = b""  # nobody reads: there is nowhere to report it either
+                # Counted for metrics, and told in the log if the descriptor works again.
+                self.dropped_unwritable += self._rest_lines
+                self._rest, self._rest_lines = b"", 0
                 return
             self._rest = self._rest[done:]
 
     def _report_dropped(self) -> None:
-        dropped = self.dropped_full + self.dropped_rate
+        dropped = self.dropped_full + self.dropped_rate + self.dropped_unwritable
         if dropped != self._reported_dropped and not self._is_full():
             self.event(
-                "log_lines_dropped", buffer_full=self.dropped_full, over_rate=self.dropped_rate
+                "log_lines_dropped",
+                buffer_full=self.dropped_full,
+                over_rate=self.dropped_rate,
+                unwritable=self.dropped_unwritable,
             )
             self._reported_dropped = dropped
 
--- a/berylchute/steering.py
+++ b/berylchute/steering.py
@@ -68,7 +68,11 @@
 
 @attrs.define(eq=False)
 class _Work:
-    """One request while it is carried."""
+    """One request while it is carried.
+
+    `may_have_run`: a server may have worked on it, so that "not run" must not be told any more.
+    `failure` is what a server answered before the request was repeated.
+    """
 
     pending: Pending
     request: CallerRequest
@@ -80,6 +84,8 @@
     sent: int = 0
     not_sent: int = 0
     reason: str = ""
+    may_have_run: bool = False
+    failure: ServerAnswer | None = None
 
     @property
     def tried(self) -> list[str]:
@@ -158,6 +164,8 @@
             if scope.cancelled_caught:
                 if work.pending.is_abandoned:
                     self._end(work.pending, work, Outcome.CALLER_LEFT, None)
+                elif work.failure is not None:
+                    self._pass_on(work, Outcome.SERVER_FAILED, work.failure)
                 else:
                     self._end(work.pending, work, Outcome.TIMED_OUT, Answer(504))
         finally:
@@ -221,11 +229,12 @@
     def _take_lost(self, work: _Work, server: Server, error: ExchangeError) -> bool:
         work.sent += 1
         work.reason = error.code
+        work.may_have_run = True
         self._note_failure(server, error)
         if work.route.kind.is_idempotent and work.sent < work.route.attempts_max:
             self._metrics.retries.labels(error.code).inc()
             return False
-        self._end(work.pending, work, Outcome.ANSWER_LOST, Answer(502))
+        self._give_up(work)
         return True
 
     def _take_answer(
@@ -254,16 +263,17 @@
         outcome = Outcome.ANSWERED if answer.status < 500 else Outcome.SERVER_FAILED
         if outcome is Outcome.SERVER_FAILED and self._may_repeat_failure(work, now_s):
             work.reason = f"server_failed_{answer.status}"
+            work.may_have_run = True
+            work.failure = answer
             self._metrics.retries.labels("server_failed").inc()
             return False
-        self._end(
-            work.pending,
-            work,
-            outcome,
-            Answer(answer.status, answer.headers, answer.body),
-        )
+        self._pass_on(work, outcome, answer)
         return True
 
+    def _pass_on(self, work: _Work, outcome: Outcome, answer: ServerAnswer) -> None:
+        """End the request with a server's answer as it is."""
+        self._end(work.pending, work, outcome, Answer(answer.status, answer.headers, answer.body))
+
     def _may_repeat_failure(self, work: _Work, now_s: float) -> bool:
         return (
             work.route.kind.is_idempotent
@@ -277,9 +287,14 @@
         self._give_up(work, choice)
 
     def _give_up(self, work: _Work, choice: Choice | None = None) -> None:
-        """Refuse a request that has not run, with the time to come back."""
-        if work.reason.startswith(("answer_lost", "answer_invalid", "server_failed")):
-            # An earlier attempt may have run, so that nothing can be promised.
+        """End a request without an answer to its last attempt.
+
+        Where it has not run, it is refused with the time to come back.
+        """
+        if work.failure is not None:
+            self._pass_on(work, Outcome.SERVER_FAILED, work.failure)
+            return
+        if work.may_have_run:
             self._end(work.pending, work, Outcome.ANSWER_LOST, Answer(502), choice)
             return
         left_s = TIME_LEFT_DEFAULT_S
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -142,3 +142,12 @@
     assert not server.is_slowed(1.0, clock.now)
     # A pace told long ago says nothing.
     assert not server.is_slowed(0.2, clock.now + PACE_AGE_MAX_S + 0.1)
+
+
+def test_opened_connections_are_counted_past_the_end_of_their_server() -> None:
+    clock = ManualClock()
+    backends = make(clock, entry("i-1"), entry("i-2"))
+    for server in backends.of_service("s"):
+        server.pool.opened = 2
+    backends.apply(ServerList((entry("i-1"),)))
+    assert backends.connections_opened() == 4
--- a/tests/test_eventlog.py
+++ b/tests/test_eventlog.py
@@ -68,9 +68,32 @@
     assert log.dropped_rate == REQUEST_LINES_PER_S * 2
 
 
-def test_closed_reader_is_survived() -> None:
+def test_lines_that_nobody_reads_are_counted() -> None:
     read, write = os.pipe()
     os.close(read)
     log = EventLog(write, "h1")
+    for _ in range(3):
+        log.event("e")
+    log.flush()
+    assert log.dropped_unwritable == 3
     log.event("e")
     log.flush()
+    assert log.dropped_unwritable == 5  # the line that tells of the drops is one of them
+
+
+def test_failed_write_is_told_once_the_descriptor_works_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    read, write = os.pipe()
+    log = EventLog(write, "h1")
+    with monkeypatch.context() as patch:
+        patch.setattr("berylchute.eventlog.os.write", _fail)
+        log.event("e")
+        log.flush()
+    log.flush()
+    (told,) = _lines(read)
+    assert (told["event"], told["unwritable"]) == ("log_lines_dropped", 1)
+
+
+def _fail(_descriptor: int, _data: bytes) -> int:
+    raise OSError(5, "input/output error")
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -226,6 +226,21 @@
     assert len(world.sent) == 1
 
 
+@pytest.mark.parametrize("second", [NOT_RUN, NotSent("x")])
+def test_refused_repeat_does_not_promise_that_nothing_ran(second: Reply) -> None:
+    # The first attempt may have run, whatever the second server says of its own.
+    world = _World(SAFE, AnswerLost("x"), second, *[NotSent("x")] * 3, servers=5)
+    assert _status(world.run()) == 502
+
+
+@pytest.mark.parametrize("second", [NOT_RUN, AnswerLost("x"), 5.0])
+def test_failure_is_passed_on_where_its_repeat_comes_to_nothing(second: Reply) -> None:
+    world = _World(SAFE, FAILED, second)
+    # Repeated because there is time for it, and then out of time.
+    assert world.run(timeout_s=1.2) == Answer(500, FAILED.headers, FAILED.body)
+    assert len(world.sent) == 2
+
+
 def test_full_servers_are_refused_with_a_time_to_come_back() -> None:
     def fill(world: _World) -> None:
         for server in world.all_servers:
