--- a/berylchute/membership.py
+++ b/berylchute/membership.py
@@ -246,10 +246,15 @@
         self, record: MemberRecord, age_ms: int, sender: str, now_s: float
     ) -> list[Outgoing]:
         own = self.record
-        if record.incarnation != own.incarnation or age_ms < self._timing.suspect_s * 1000:
+        incarnation = own.incarnation
+        if record.incarnation > incarnation:
+            # A former process started while the time of day was ahead of what it is now.
+            incarnation = record.incarnation + 1
+        elif record.incarnation < incarnation or age_ms < self._timing.suspect_s * 1000:
             return []
         newest = max(own.sequence, record.sequence)
-        self._roster.replace(self._roster.own, attrs.evolve(own, sequence=newest), now_s)
+        newer = attrs.evolve(own, incarnation=incarnation, sequence=newest)
+        self._roster.replace(self._roster.own, newer, now_s)
         self._urgent[own.host_id] = self._rounds()
         out = self._heartbeats(now_s)
         accuser = self._roster.members.get(sender)
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -64,7 +64,7 @@
     at_s: float
     number: int
     address: str
-    incarnation: int = attrs.field(order=False)
+    target: VirtualHost = attrs.field(order=False)
     frames: list[bytes] | None = attrs.field(order=False, default=None)
 
 
@@ -169,9 +169,8 @@
         host = self.hosts.get(event.address)
         if host is None or not host.is_up:
             return
-        record = host.replication.membership.record
-        if event.frames is None and event.incarnation != record.incarnation:
-            return
+        if event.frames is None and event.target is not host:
+            return  # the timer of a process that was replaced
         if host.paused_until_s > self.now_s:
             self._push(host.paused_until_s, event.address, event.frames)
             return
@@ -212,5 +211,5 @@
 
     def _push(self, at_s: float, address: str, frames: list[bytes] | None) -> None:
         self._number += 1
-        incarnation = self.hosts[address].replication.membership.record.incarnation
-        heapq.heappush(self._events, _Event(at_s, self._number, address, incarnation, frames))
+        event = _Event(at_s, self._number, address, self.hosts[address], frames)
+        heapq.heappush(self._events, event)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -218,6 +218,24 @@
         assert status is not None and status.record.incarnation > old.incarnation
 
 
+def test_process_whose_clock_was_set_back_replaces_its_former_record() -> None:
+    """Guards against a restart that stays unknown because its start looks older."""
+    fleet = _fleet()
+    old = fleet.hosts["xela-b-2"].replication.membership.record
+    former = attrs.evolve(old, incarnation=old.incarnation + 2_000, sequence=9)
+    for host in fleet.up():
+        if host.replication.membership.record.host_id != "xela-b-2":
+            late = MemberUpdate(sender="xela-b-1", records=(former,), ages_ms=(0,))
+            host.replication.handle(late, fleet.now_s)
+    fleet.run(5.0)
+    own = fleet.hosts["xela-b-2"].replication.membership.record
+    assert own.incarnation > former.incarnation
+    for host in fleet.up():
+        status = host.replication.membership.find_position("xela-b-2")
+        assert status is not None and status.record.incarnation == own.incarnation
+        assert status.state is MemberState.LIVE
+
+
 def test_suspected_member_refutes_with_a_higher_sequence() -> None:
     """Guards against a wrong suspicion that lasts."""
     fleet = _fleet()
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -21,7 +21,8 @@
 seeds=10.1.0.34:8544,10.2.0.34:8544
 bounds=grace-s=6,retry-budget-ratio=0.25,budget-window-s=9,retry-burst=62,closed=false
 platform.address=10.200.1.7:8541
-limits.cpu-share=0.43
+limits.cpu-share=0.717
+limits.cores=3
 limits.link-mbps=10
 something-new=1
 """
@@ -37,7 +38,7 @@
     settings = load(_file(tmp_path, TEXT))
     edge = settings.edge
     assert edge.node.host.host_id == "front-xela-a-1"
-    assert (edge.node.host.cpu_cores, edge.node.host.link_mbit_per_s) == (0.43, 10)
+    assert (edge.node.host.cpu_cores, edge.node.host.link_mbit_per_s) == (pytest.approx(2.151), 10)
     assert edge.node.listen.peers == "10.1.0.34:8544"
     assert edge.node.peers.seeds == ("10.1.0.34:8544", "10.2.0.34:8544")
     assert edge.zone_regions == {"xela-a": "occidente", "coban-a": "verapaz"}
