Say where constants come from, and time requests by service and kind and sends by result

Cause: several limits gave unit and use only; metrics told latency by outcome alone, store calls as one sum, and nothing of the age of what a process holds. No behaviour of requests changed. Ruled out: nothing.

--- a/berylchute/backends.py
+++ b/berylchute/backends.py
@@ -13,29 +13,37 @@
 
 __all__ = ["Backends", "Server", "ToldLoad"]
 
-# Load that a server told loses its weight over this time: work of that age has mostly ended.
+# Load that a server told loses its weight over this time, the longest usual work time of the
+# deployments' services (0.54 s), rounded up.
 TOLD_FADES_S = 0.6
-# A told pace says nothing after this time: neighbours on a server's machine come and go.
+# A told pace says nothing after this time: neighbours on a server's machine come and go several
+# times a second.
 PACE_AGE_MAX_S = 0.3
-# Weight of one answer in the usual time of a server's answers, by whether it was shorter.
+# Weight of one answer in the usual time of a server's answers, by whether it was shorter: some
+# five short answers set it, and the slow ones among ten barely move it.
 WORK_FALL_WEIGHT = 0.2
 WORK_RISE_WEIGHT = 0.02
 # Pace in percent from which another server is worth a detour, and the part of the latency
-# objective that an answer may take there; the rest is the way to the caller and back.
+# objective that an answer may take there; the rest is the way to the caller and back. Leaving
+# servers by their mean time instead was worse in trials (docs/MEASUREMENTS.md).
 SLOWED_PACE = 150
 IN_TIME_RATIO = 0.8
-# A server that failed is left alone for this long, doubled with each further failure.
+# A server that failed is left alone for this long, doubled with each further failure: a restart
+# takes fractions of a second, and one lost request in 3 s tells when a longer outage has ended.
 FAILURE_PAUSE_S = 0.3
 FAILURE_PAUSE_MAX_S = 3.0
 # Distinct keys whose server order is kept; more keys only cost hashing.
 ORDERS_KEPT_MAX = 4096
-# Servers of a key's own region that come before those of other regions.
+# Servers of a key's own region that come before those of other regions; with two of them a crowded
+# region refused what others had room for (docs/MEASUREMENTS.md).
 NEAR_SERVERS = 1
-# Share of a cold server's rate that its one sender uses; two senders may overlap for a moment.
+# Share of a cold server's rate that its one sender uses. Two senders may overlap for a moment, and
+# servers bear half as much again as their rate.
 COLD_RATE_SHARE = 0.7
-# Used until the configuration names the service.
+# Connections to a server until the configuration names its service; more than its slots.
 CONNECTIONS_DEFAULT = 64
-# Senders that may use one server's connections at once beyond an even split.
+# A server's connections are split among this many senders: affinity sends most requests for it
+# through few members at a time.
 CONNECTIONS_SPREAD = 4
 
 
--- a/berylchute/callers.py
+++ b/berylchute/callers.py
@@ -16,10 +16,13 @@
 
 Header = tuple[bytes, bytes]
 
-# Pipelined requests of one connection that are worked on at once; reading pauses above it.
+# Pipelined requests of one connection that are worked on at once; reading pauses above it. Far more
+# than browsers and libraries send ahead.
 PIPELINE_MAX = 64
-# Bytes that a caller has not read; a caller this far behind is disconnected.
+# Bytes that a caller has not read; a caller this far behind is disconnected. A small machine's
+# memory holds ten of them.
 UNREAD_BYTES_MAX = 16_000_000
+# Period of the check for idle and slow callers; their limits are whole seconds.
 SWEEP_S = 0.25
 
 # Headers that concern one connection only, or that are set anew for each message.
--- a/berylchute/collection.py
+++ b/berylchute/collection.py
@@ -17,13 +17,18 @@
 
 _LOG = logging.getLogger(__name__)
 
+# A watch on a connection that went silent is noticed after this time; longer ones would cost fewer
+# calls and be noticed later.
 WATCH_WAIT_S = 4.0
+# Delays after failed calls. The longest is a fraction of the time within which a change must be in
+# force (2 s and more), so that a store that is back is noticed in time.
 RETRY_FIRST_S = 0.1
 RETRY_MAX_S = 1.0
-# Bounds the calls that a burst of changes causes.
+# Bounds the calls that a burst of changes causes, to ten a second.
 PAUSE_S = 0.1
+# Period of the check whether this member is to watch; a fraction of the time to suspect a member.
 WANTED_CHECK_S = 0.2
-# Servers whose entries lapsed while the store was away register again within this time.
+# Servers whose entries lapsed while the store was away register again within about 2 s.
 LAPSE_GRACE_S = 2.2
 # Object versions between two revisions of the store, for lists that keep lapsed entries.
 VERSIONS_A_REVISION = 4096
@@ -104,6 +109,11 @@
         self.is_in_touch = False
         self.answered_s = float("-inf")
 
+    @property
+    def name(self) -> str:
+        """Return the collection's name."""
+        return self._collection.name
+
     async def run(self) -> None:
         """Follow the collection until cancelled."""
         while True:
--- a/berylchute/directory.py
+++ b/berylchute/directory.py
@@ -7,10 +7,11 @@
 
 __all__ = ["Directory"]
 
-# Members offered to a caller; fewer than this in its zone are joined by others of its region.
+# Members offered to a caller, so that one may fail; fewer than this in its zone are joined by
+# others of its region.
 OFFERS_MIN = 2
-# Callers choose evenly among the offers, so that members much weaker than the strongest are left
-# out while enough others are there.
+# Callers choose evenly among the offers, so that members with less than half of the strongest one's
+# capacity, which would be twice as busy, are left out while enough others are there.
 CAPACITY_RATIO_MIN = 0.5
 
 
--- a/berylchute/duties.py
+++ b/berylchute/duties.py
@@ -7,7 +7,8 @@
 
 __all__ = ["WATCHERS", "is_cold_sender", "is_watcher"]
 
-# Members that follow the store and tell the others; more survive cuts, each costs calls.
+# Members that follow the store and tell the others. All four stand in the same of three regions
+# once in 27 draws, so that one is nearly always left when a region is lost; each more costs calls.
 WATCHERS = 4
 
 
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -32,17 +32,21 @@
 
 __all__ = ["Edge", "EdgeSettings"]
 
+# Period of the own report to the other members; well below their heartbeat.
 REPORT_S = 0.25
+# A pipe of 64 KiB takes what is written in this time at the bounds of the event log.
 LOG_FLUSH_S = 0.2
-# Messages between members cost more processor time than requests at the default periods.
+# Messages between members cost more processor time than requests at the default periods. A member
+# is suspect after three silent heartbeats.
 MEMBER_TIMING = Timing(heartbeat_s=0.5, suspect_s=1.6, digest_s=1.0, pause_s=1.2)
 # After the stop signal, callers are still served as before for this long, until most have asked
-# the directory again.
+# the directory again: half of the time for which they keep its answer.
 STOP_CLOSE_DELAY_S = 1.0
-# Then kept connections are closed after each answer, and from here on no new ones are taken.
+# Then kept connections are closed after each answer, and from here on no new ones are taken: some
+# callers keep an answer of the directory three times as long as it says.
 STOP_LISTEN_S = 3.5
 STOP_POLL_S = 0.05
-# Time left for the exit itself.
+# Time left for the exit itself, with room for a busy machine.
 STOP_MARGIN_S = 0.4
 
 logger = logging.getLogger(__name__)
@@ -104,6 +108,7 @@
         self._callers = CallerServer(self._steering.handle, self._clock, settings.dialect)
         self._servers = {settings.node.listen.http: self._callers}
         self._is_stopping = False
+        self._taken_s: dict[str, float] = {}
         self._members: Sequence[MemberStatus] = ()
         self._metrics.read_state = self._state
         if settings.metrics:
@@ -175,6 +180,7 @@
 
     def _take(self, stored: StoredObject) -> None:
         value = decode(stored.key, stored.value)
+        self._taken_s[stored.key] = self._clock.now_s()
         if isinstance(value, RouteTable):
             newer = self._routes.replace(value)
             if newer:
@@ -288,14 +294,16 @@
     def _state(self) -> EdgeState:
         """Return what metrics show."""
         table = self._routes.table
+        now_s = self._clock.now_s()
         return EdgeState(
             requests_in_flight=self._steering.in_flight,
             routes_number=table.number if table else 0,
             servers=len(self._backends),
             members=Counter(status.state.value for status in self._node.members.statuses()),
-            store_silence_s=self._clock.now_s() - max(feed.answered_s for feed in self._feeds),
-            store_calls=sum(feed.calls for feed in self._feeds),
-            store_failures=sum(feed.failures for feed in self._feeds),
+            store_silence_s=now_s - max(feed.answered_s for feed in self._feeds),
+            object_ages_s={key: now_s - taken_s for key, taken_s in self._taken_s.items()},
+            store_calls={feed.name: feed.calls for feed in self._feeds},
+            store_failures={feed.name: feed.failures for feed in self._feeds},
             connections_opened=self._backends.connections_opened(),
             log_lines_dropped_full=self._log.dropped_full,
             log_lines_dropped_rate=self._log.dropped_rate,
--- a/berylchute/edgemetrics.py
+++ b/berylchute/edgemetrics.py
@@ -17,15 +17,20 @@
 
 @attrs.frozen
 class EdgeState:
-    """What the edge program knows of itself when metrics are asked for."""
+    """What the edge program knows of itself when metrics are asked for.
+
+    `object_ages_s` tells for each shared object how long ago this process took its last change;
+    store calls are counted by collection.
+    """
 
     requests_in_flight: int = 0
     routes_number: int = 0
     servers: int = 0
     members: Mapping[str, int] = attrs.field(factory=dict)
     store_silence_s: float = 0.0
-    store_calls: int = 0
-    store_failures: int = 0
+    object_ages_s: Mapping[str, float] = attrs.field(factory=dict)
+    store_calls: Mapping[str, int] = attrs.field(factory=dict)
+    store_failures: Mapping[str, int] = attrs.field(factory=dict)
     connections_opened: int = 0
     log_lines_dropped_full: int = 0
     log_lines_dropped_rate: int = 0
@@ -55,7 +60,15 @@
         dropped.add_metric(["buffer_full"], state.log_lines_dropped_full)
         dropped.add_metric(["over_rate"], state.log_lines_dropped_rate)
         dropped.add_metric(["unwritable"], state.log_lines_dropped_unwritable)
-        return [members, dropped, *_gauges(state), *_counters(state)]
+        ages = GaugeMetricFamily(
+            "berylchute_edge_object_age_seconds",
+            "Time since this process took the last change of a shared object.",
+            None,
+            ("object",),
+        )
+        for key, age_s in state.object_ages_s.items():
+            ages.add_metric([key], age_s)
+        return [members, dropped, ages, *_gauges(state), *_counters(state)]
 
 
 def _gauges(state: EdgeState) -> list[Metric]:
@@ -84,15 +97,21 @@
 
 
 def _counters(state: EdgeState) -> list[Metric]:
+    calls = CounterMetricFamily(
+        "berylchute_edge_store_calls", "Calls to the store by collection.", None, ("collection",)
+    )
+    failures = CounterMetricFamily(
+        "berylchute_edge_store_call_failures",
+        "Calls to the store that ended without a usable answer, by collection.",
+        None,
+        ("collection",),
+    )
+    for family, counts in ((calls, state.store_calls), (failures, state.store_failures)):
+        for collection, count in counts.items():
+            family.add_metric([collection], count)
     return [
-        CounterMetricFamily(
-            "berylchute_edge_store_calls", "Calls to the store.", state.store_calls
-        ),
-        CounterMetricFamily(
-            "berylchute_edge_store_call_failures",
-            "Calls to the store that ended without a usable answer.",
-            state.store_failures,
-        ),
+        calls,
+        failures,
         CounterMetricFamily(
             "berylchute_edge_server_connections",
             "Connections opened to backend servers.",
@@ -131,24 +150,42 @@
         )
         self._seconds = Histogram(
             "berylchute_edge_request_seconds",
-            "Time from the arrival of a request to the end of its answer, by outcome.",
-            ("outcome",),
+            "Time from the arrival of a request to the end of its answer.",
+            ("service", "kind", "outcome"),
+            buckets=_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._server_seconds = Histogram(
+            "berylchute_edge_server_seconds",
+            "Time from a send to the end of the server's answer, by its status or error code.",
+            ("service", "result"),
             buckets=_BUCKETS_S,
             registry=self.registry,
         )
+        # Looking children up by their labels takes longer than counting.
         self._children: dict[tuple[str, str], Counter] = {}
-        self._histograms: dict[str, Histogram] = {}
+        self._histograms: dict[tuple[str, str, str], Histogram] = {}
+        self._server_histograms: dict[tuple[str, str], Histogram] = {}
+
+    def note_attempt(self, service: str, result: str, seconds: float) -> None:
+        """Count one send that came to an end."""
+        histogram = self._server_histograms.get((service, result))
+        if histogram is None:
+            histogram = self._server_seconds.labels(service, result)
+            self._server_histograms[service, result] = histogram
+        histogram.observe(seconds)
 
-    def note_end(self, service: str, outcome: str, reason: str, total_s: float) -> None:
+    def note_end(self, service: str, kind: str, outcome: str, reason: str, total_s: float) -> None:
         """Count one finished request."""
         child = self._children.get((service, outcome))
         if child is None:
             child = self._requests.labels(service, outcome)
             self._children[service, outcome] = child
         child.inc()
-        histogram = self._histograms.get(outcome)
+        histogram = self._histograms.get((service, kind, outcome))
         if histogram is None:
-            histogram = self._histograms[outcome] = self._seconds.labels(outcome)
+            histogram = self._seconds.labels(service, kind, outcome)
+            self._histograms[service, kind, outcome] = histogram
         histogram.observe(total_s)
         if reason and outcome != "answered":
             self._refusals.labels(reason.partition(",")[0]).inc()
--- a/berylchute/retrybudget.py
+++ b/berylchute/retrybudget.py
@@ -6,9 +6,12 @@
 
 __all__ = ["RetryBounds", "RetryBudget"]
 
-# Part of the fleet's allowance that is used; the rest covers members that others do not know yet.
+# Part of the fleet's allowance that is used. An allowance may be counted over other windows than
+# the last one, which begin up to a quarter of a window earlier or later and hold this part of its
+# requests.
 USED_SHARE = 0.75
-# A fresh process does not know how many share the allowance.
+# A fresh process does not know how many share the allowance until it has heard from the others;
+# ten heartbeats.
 LEARNING_S = 5.0
 
 
--- a/berylchute/selection.py
+++ b/berylchute/selection.py
@@ -9,11 +9,14 @@
 
 __all__ = ["Choice", "Refusal", "Selector"]
 
-# Servers that hold a key's objects; the next takes over when those before it are full.
+# Servers that hold a key's objects; the next takes over when those before it are full. A third one
+# spread the objects too far in trials (docs/MEASUREMENTS.md).
 PREFERRED_SERVERS = 2
-# Requests at a server, in multiples of its slots, above which it is full.
+# Requests at a server, in multiples of its slots, above which it is full: a short queue keeps the
+# slots busy. 1.0 served fewer and 1.6 no more in trials (docs/MEASUREMENTS.md).
 FULL_RATIO = 1.25
-# Load up to which a server takes requests of another one that is slow just now.
+# Load, in multiples of its slots, up to which a server takes requests of another one that is slow
+# just now: servers slow down when nearly all slots are taken.
 STAND_IN_RATIO = 0.8
 
 
--- a/berylchute/steering.py
+++ b/berylchute/steering.py
@@ -25,13 +25,16 @@
 __all__ = ["Attempt", "Outcome", "Steering"]
 
 # Share of the time that a caller has left after which it is asked to come back, drawn anew for
-# each refusal so that the returns spread. Callers wait at most a third of it.
+# each refusal so that the returns spread. Callers wait at most a third of it; earlier returns
+# gained nothing in trials (docs/MEASUREMENTS.md).
 COME_BACK_SHARE = (0.2, 0.33)
-# Time assumed for callers that state none.
+# Time assumed for callers that state none; the usual default of HTTP clients.
 TIME_LEFT_DEFAULT_S = 30.0
-# Callers are told to come back this soon while no configuration is known.
+# Callers are told to come back this soon while no configuration is known: a few round trips to a
+# store across a continent.
 STARTING_RETRY_S = 0.3
-# Sends that reached no server cost nothing but time; this many unreachable servers are passed.
+# Unreachable servers that are passed over for one request; each may cost CONNECT_TIMEOUT_S, and
+# all together most of a usual time budget of 1.5 s.
 NOT_SENT_MAX = 3
 
 
@@ -204,6 +207,7 @@
         self._metrics.sent.inc()
         try:
             answer = await server.pool.exchange(self._encode(work, server, now_s))
+            attempt.result = str(answer.status)
         except NotSent as error:
             attempt.result = error.code
             return self._take_not_sent(work, server, error)
@@ -212,10 +216,11 @@
             return self._take_lost(work, server, error)
         finally:
             server.in_flight -= 1
-            attempt.server_ms = _ms(self._clock.now_s() - now_s)
-        attempt.result = str(answer.status)
+            seconds = self._clock.now_s() - now_s
+            attempt.server_ms = _ms(seconds)
+            self._metrics.note_attempt(work.service, attempt.result, seconds)
         work.sent += 1
-        return self._take_answer(work, server, answer, attempt.server_ms / 1000.0)
+        return self._take_answer(work, server, answer, seconds)
 
     def _take_not_sent(self, work: _Work, server: Server, error: NotSent) -> bool:
         work.not_sent += 1
@@ -321,7 +326,8 @@
             pending.respond(answer)
         total_s = self._clock.now_s() - request.received_s
         service = work.service if work else ""
-        self._metrics.note_end(service, outcome, work.reason if work else "", total_s)
+        kind = work.route.kind.value if work else ""
+        self._metrics.note_end(service, kind, outcome, work.reason if work else "", total_s)
         table = self._routes.table
         self._log.request_event(
             "request",
--- a/berylchute/upstream.py
+++ b/berylchute/upstream.py
@@ -17,12 +17,15 @@
 
 # Above the round trip between the farthest regions of a continent, below latency objectives.
 CONNECT_TIMEOUT_S = 0.4
-# Sent bytes that a peer does not acknowledge for this long mean that it is gone.
+# Sent bytes that a peer does not acknowledge for this long mean that it is gone: TCP has sent them
+# again at least three times by then, at round trips of up to 0.13 s.
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
-# Servers state how long they keep idle connections; this applies to those that do not.
+# Servers state how long they keep idle connections; this applies to those that do not, and is
+# below the 5 s that is a common default.
 IDLE_DEFAULT_S = 4.0
 # A connection is not used this close to the end of the time that its server keeps it.
 IDLE_MARGIN_S = 1.0
+# Answers are held whole until they are complete; a quarter of the memory of a small machine.
 ANSWER_BYTES_MAX = 64_000_000
 ANSWER_HEADER_BYTES_MAX = 65_536
 
