Outlive a second stop signal, and test the edge program as a whole

Cause: the handler of SIGTERM was taken away once the first signal came, so that a second one ended the process in the middle of its graceful stop. Found by the new test of the composition root, which died of it. Change: the receiver stays until the stop is done. tests/test_edge.py: start, metrics, refusals before the store has answered, reload, stop. Ruled out: nothing.

--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -140,6 +140,11 @@
         """Return the directory of the members that take callers."""
         return self._directory
 
+    @property
+    def retry_bounds(self) -> RetryBounds:
+        """Return the bounds of repeats in force."""
+        return self._steering.bounds
+
     def homes(self, host: str) -> frozenset[str]:
         """Return the regions to which routes of a host name are bound."""
         return self._routes.homes(host)
@@ -164,8 +169,7 @@
             background.start(self._report_forever)
             background.start(self._flush_forever)
             background.start(self._reload_on_signal)
-            await self._wait_for_stop()
-            await self._stop()
+            await self._stop_on_signal()
             tasks.cancel_scope.cancel()
         self._log.event("stop", in_flight=self._steering.in_flight)
         self._log.flush()
@@ -261,10 +265,12 @@
             needs_restart=settings.node != before.node or settings.metrics != before.metrics,
         )
 
-    async def _wait_for_stop(self) -> None:
+    async def _stop_on_signal(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
-                return
+                break
+            # The receiver stays: a second signal must not end the process at once.
+            await self._stop()
 
     async def _stop(self) -> None:
         """Leave the directory, finish what runs, and close connections as callers turn away."""
--- /dev/null
+++ b/tests/test_edge.py
@@ -0,0 +1,207 @@
+"""Guard the edge program as a whole, in one process: start, serve, reload, stop."""
+
+import asyncio
+import logging
+import os
+import signal
+from collections.abc import Awaitable, Callable, Iterator, Mapping
+
+import attrs
+import pytest
+
+from berylchute.collection import Changes, Collection, Listing
+from berylchute.edge import Edge, EdgeSettings
+from berylchute.exceptions import SettingsError, StoreUnavailable
+from berylchute.retrybudget import RetryBounds
+from berylchute.services import (
+    ROUTES_KEY,
+    SERVERS_KEY,
+    ZONE_DRAINS_KEY,
+    CallerLimits,
+    RouteTable,
+    ServerEntry,
+    ServerList,
+    ServicePolicy,
+    ZoneDrains,
+)
+from berylchute.settings import (
+    HostSettings,
+    ListenSettings,
+    PeersSettings,
+    Settings,
+    StoreSettings,
+)
+from lab.processes import free_ports
+from tests.test_routebook import route
+
+GRACE_S = 2.0
+WAIT_S = 5.0
+
+
+class _Store:
+    """Hold one entry a collection; it may be away."""
+
+    def __init__(self, values: Mapping[str, object]) -> None:
+        self.values = values
+        self.is_away = False
+
+    async def read(self, collection: str) -> Listing:
+        if self.is_away:
+            raise StoreUnavailable("away")
+        return Listing({"only": self.values[collection]}, 5)
+
+    async def watch(self, collection: str, after_revision: int, wait_s: float) -> Changes:
+        await asyncio.sleep(wait_s)
+        return Changes({}, after_revision)
+
+
+class _World:
+    """One edge program, one backend server and the store."""
+
+    def __init__(self) -> None:
+        self.callers, peers, server, self.metrics = (f"127.0.0.1:{port}" for port in free_ports(4))
+        self.server = server
+        entry = ServerEntry("i-1", "s", server, "za", 4, False)
+        policy = ServicePolicy("s", 100, 0.0, 10.0)
+        self.store = _Store(
+            {
+                "routes": RouteTable(7, (route("/a/"),), (policy,), CallerLimits()),
+                "servers": ServerList((entry,)),
+                "drains": ZoneDrains(()),
+            }
+        )
+        node = Settings(
+            host=HostSettings("edge-1", "za", "ra"),
+            listen=ListenSettings(self.callers, peers),
+            store=StoreSettings(url=""),
+            peers=PeersSettings(),
+        )
+        self.settings = EdgeSettings(node, {"za": "ra"}, RetryBounds(), GRACE_S, self.metrics)
+        self.read_settings: Callable[[], EdgeSettings] = lambda: self.settings
+        collections = [
+            Collection(name, key, lambda entries: entries["only"])  # type: ignore[arg-type, return-value]
+            for name, key in (
+                ("routes", ROUTES_KEY),
+                ("servers", SERVERS_KEY),
+                ("drains", ZONE_DRAINS_KEY),
+            )
+        ]
+        self.edge = Edge(self.settings, self.store, collections, lambda: self.read_settings())
+
+    async def run(self, act: Callable[["_World"], Awaitable[None]]) -> None:
+        """Serve while `act` runs, then stop; fail if the program does not end in time."""
+        host, _, port = self.server.rpartition(":")
+        server = await asyncio.start_server(_serve, host, int(port))
+        serving = asyncio.create_task(self.edge.serve())
+        try:
+            await act(self)
+            os.kill(os.getpid(), signal.SIGTERM)
+            await asyncio.wait_for(serving, GRACE_S + 1.0)
+        finally:
+            serving.cancel()
+            server.close()
+
+    async def until_ready(self) -> None:
+        async with asyncio.timeout(WAIT_S):
+            while not self.edge.is_ready:
+                await asyncio.sleep(0.01)
+
+    async def get(self, path: str, address: str = "") -> bytes:
+        """Return the whole answer to one request on a connection of its own."""
+        host, _, port = (address or self.callers).rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = f"GET {path} HTTP/1.1\r\nHost: a\r\nBerylchute-Request-Id: q1\r\n"
+        writer.write(f"{head}Connection: close\r\n\r\n".encode())
+        async with asyncio.timeout(WAIT_S):
+            answer = await reader.read()
+        writer.close()
+        return answer
+
+
+async def _serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    try:
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            head = b"HTTP/1.1 200 OK\r\nBerylchute-Request-Id: q1\r\nContent-Length: 4\r\n\r\n"
+            writer.write(head + b"mine")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        writer.close()
+
+
+@pytest.fixture(autouse=True)
+def _keep_log_handlers() -> Iterator[None]:
+    root = logging.getLogger()
+    handlers, level = list(root.handlers), root.level
+    yield
+    root.handlers[:] = handlers
+    root.setLevel(level)
+
+
+def test_requests_are_carried_and_counted() -> None:
+    async def act(world: _World) -> None:
+        await world.until_ready()
+        answer = await world.get("/a/x")
+        assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"mine")
+        assert (await world.get("/elsewhere")).startswith(b"HTTP/1.1 404")
+        metrics = (await world.get("/metrics", world.metrics)).decode()
+        assert 'berylchute_edge_requests_total{outcome="answered",service="s"} 1.0' in metrics
+        assert "berylchute_edge_routes_number 7.0" in metrics
+
+    asyncio.run(_World().run(act))
+
+
+def test_nothing_is_promised_before_the_store_has_answered() -> None:
+    async def act(world: _World) -> None:
+        async with asyncio.timeout(WAIT_S):
+            while not (answer := await _try_get(world, "/a/x")):
+                await asyncio.sleep(0.01)
+        assert answer.startswith(b"HTTP/1.1 503") and b"Retry-After" in answer
+        assert not world.edge.is_ready
+        world.store.is_away = False
+        await world.until_ready()
+        assert (await world.get("/a/x")).startswith(b"HTTP/1.1 200")
+
+    world = _World()
+    world.store.is_away = True
+    asyncio.run(world.run(act))
+
+
+async def _try_get(world: _World, path: str) -> bytes:
+    try:
+        return await world.get(path)
+    except ConnectionRefusedError:
+        return b""
+
+
+def test_reload_takes_new_bounds_and_survives_wrong_settings() -> None:
+    def fail() -> EdgeSettings:
+        raise SettingsError("seeds: wrong")
+
+    async def act(world: _World) -> None:
+        await world.until_ready()
+        world.read_settings = fail
+        os.kill(os.getpid(), signal.SIGHUP)
+        await asyncio.sleep(0.1)
+        assert world.edge.retry_bounds == RetryBounds()
+        newer = RetryBounds(ratio=0.1)
+        world.read_settings = lambda: attrs.evolve(world.settings, retries=newer)
+        os.kill(os.getpid(), signal.SIGHUP)
+        async with asyncio.timeout(WAIT_S):
+            while world.edge.retry_bounds != newer:
+                await asyncio.sleep(0.01)
+        assert (await world.get("/a/x")).startswith(b"HTTP/1.1 200")
+
+    asyncio.run(_World().run(act))
+
+
+def test_stop_is_told_before_it_turns_callers_away() -> None:
+    async def act(world: _World) -> None:
+        await world.until_ready()
+        os.kill(os.getpid(), signal.SIGTERM)
+        async with asyncio.timeout(WAIT_S):
+            while world.edge.is_ready:
+                await asyncio.sleep(0.01)
+        # Callers that have not asked the directory again are still served.
+        assert (await world.get("/a/x")).startswith(b"HTTP/1.1 200")
+
+    asyncio.run(_World().run(act))
