Open connections to distant servers before a request needs them

Events showed warm far answers at 177 ms, which are late by one connection. Change: where connecting takes over a quarter of a service's objective, the use of a server's last idle connection opens a spare, and servers without any get one while callers are served. Not where servers could not bear four connections of each member, nor to failing servers. Ruled out: servers that close idle connections early (they keep them 10 s); lost warmth (answers of held objects took 64 ms near and 177 ms far after the first seconds).

--- a/berylchute/backends.py
+++ b/berylchute/backends.py
@@ -37,6 +37,11 @@
 # Servers of a key's own region that come before those of other regions; with two of them a crowded
 # region refused what others had room for (docs/MEASUREMENTS.md).
 NEAR_SERVERS = 1
+# Where connecting takes more than this share of the latency objective, connections are opened ahead
+# of need: with the way there and back of the request itself, half of the objective would be gone.
+SPARE_CONNECT_RATIO = 0.25
+# Connections of each member that a server must bear for spares to be opened.
+SPARE_CONNECTIONS = 4
 # Share of a cold server's rate that its one sender uses. Two senders may overlap for a moment, and
 # servers bear half as much again as their rate.
 COLD_RATE_SHARE = 0.7
@@ -142,6 +147,8 @@
         self._by_service: dict[str, tuple[Server, ...]] = {}
         self._orders: dict[tuple[str, str, bool], tuple[Server, ...]] = {}
         self._policies: dict[str, ServicePolicy] = {}
+        self._goals_s: dict[str, float] = {}
+        self._zone_connect_s: dict[str, float] = {}
         self._drained_zones: frozenset[str] = frozenset()
         self._opened_to_gone = 0
 
@@ -151,6 +158,11 @@
     def configure(self, table: RouteTable) -> None:
         """Take what the servers of each service bear."""
         self._policies = {policy.name: policy for policy in table.services}
+        self._goals_s = {}
+        for route in table.routes:
+            for share in route.shares:
+                goal_s = self._goals_s.get(share.service, math.inf)
+                self._goals_s[share.service] = min(goal_s, route.goal_s)
 
     def policy(self, service: str) -> ServicePolicy | None:
         """Return what the servers of a service bear."""
@@ -251,6 +263,34 @@
         server.next_cold_send_s = now_s + 1.0 / max(rate_per_s, 0.1)
         return True
 
+    def wants_spare(self, server: Server, members: int) -> bool:
+        """Tell whether a connection should be opened before the next request needs it."""
+        connect_s = self._zone_connect_s.get(server.entry.availability_zone)
+        if connect_s is None or not server.pool.lacks_spare or not self.is_open(server):
+            return False
+        goal_s = self._goals_s.get(server.entry.service, math.inf)
+        policy = self._policies.get(server.entry.service)
+        borne = policy.connections_max if policy else 0
+        return (
+            connect_s > SPARE_CONNECT_RATIO * goal_s
+            and members * SPARE_CONNECTIONS <= borne
+            and not server.failures
+        )
+
+    def unused_servers(self) -> Sequence[Server]:
+        """Return the servers to which no connection was opened yet."""
+        return [server for server in self._servers.values() if not server.pool.opened]
+
+    def note_distances(self) -> None:
+        """Learn from the connections so far how long it takes to reach each availability zone."""
+        for server in self._servers.values():
+            connect_s = server.pool.connect_s
+            if connect_s is not None:
+                zone = server.entry.availability_zone
+                self._zone_connect_s[zone] = min(
+                    self._zone_connect_s.get(zone, connect_s), connect_s
+                )
+
     def close_expired(self) -> None:
         """Close kept connections that servers are about to close."""
         for server in self._servers.values():
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -219,6 +219,7 @@
             self._log_members(statuses)
             self._directory.update(statuses)
             self._backends.close_expired()
+            self._steering.prepare_connections()
             if self.is_ready is not is_ready:
                 is_ready = not is_ready
                 self._node.set_ready(is_ready)
--- a/berylchute/steering.py
+++ b/berylchute/steering.py
@@ -174,6 +174,14 @@
         finally:
             self.in_flight -= 1
 
+    def prepare_connections(self) -> None:
+        """While callers are served, open connections to distant servers that are new here."""
+        self._backends.note_distances()
+        if self.in_flight:
+            for server in self._backends.unused_servers():
+                if self._backends.wants_spare(server, self._member_count()):
+                    self._background.spawn(server.pool.open_spare)
+
     async def _attempt(self, work: _Work) -> bool:
         """Send the request once; tell whether it has ended."""
         now_s = self._clock.now_s()
@@ -205,6 +213,8 @@
         work.attempts.append(attempt)
         server.in_flight += 1
         self._metrics.sent.inc()
+        if self._backends.wants_spare(server, self._member_count()):
+            self._background.spawn(server.pool.open_spare)
         try:
             answer = await server.pool.exchange(self._encode(work, server, now_s))
             attempt.result = str(answer.status)
--- a/berylchute/upstream.py
+++ b/berylchute/upstream.py
@@ -1,6 +1,7 @@
 """Carry one request at a time over kept HTTP/1.1 connections to backend servers."""
 
 import asyncio
+import logging
 import select
 import socket
 from collections.abc import Callable
@@ -15,6 +16,8 @@
 
 __all__ = ["ConnectionPool", "ServerAnswer", "UpstreamRequest"]
 
+_LOG = logging.getLogger(__name__)
+
 # Above the round trip between the farthest regions of a continent, below latency objectives.
 CONNECT_TIMEOUT_S = 0.4
 # Sent bytes that a peer does not acknowledge for this long mean that it is gone: TCP has sent them
@@ -25,6 +28,8 @@
 IDLE_DEFAULT_S = 4.0
 # A connection is not used this close to the end of the time that its server keeps it.
 IDLE_MARGIN_S = 1.0
+# After a spare connection could not be opened, none is tried for this long.
+SPARE_PAUSE_S = 3.0
 # Answers are held whole until they are complete; a quarter of the memory of a small machine.
 ANSWER_BYTES_MAX = 64_000_000
 ANSWER_HEADER_BYTES_MAX = 65_536
@@ -246,7 +251,10 @@
         self._idle: list[_Connection] = []
         self._open: set[_Connection] = set()
         self._connecting = 0
+        self._no_spare_until_s = 0.0
+        self._is_closed = False
         self.opened = 0
+        self.connect_s: float | None = None
 
     async def exchange(self, request: UpstreamRequest) -> ServerAnswer:
         """Send a request on a kept or new connection; raise NotSent, AnswerLost, AnswerInvalid."""
@@ -256,6 +264,26 @@
             self._idle.append(connection)
         return answer
 
+    @property
+    def lacks_spare(self) -> bool:
+        """Tell whether a second request at once would have to wait for a connection."""
+        is_paused = self._is_closed or self._clock.now_s() < self._no_spare_until_s
+        return len(self._idle) <= 1 and not self._connecting and not is_paused
+
+    async def open_spare(self) -> None:
+        """Open a connection ahead of need; a failure is left to the next request to handle."""
+        try:
+            connection = await self._connect()
+        except NotSent as error:
+            self._no_spare_until_s = self._clock.now_s() + SPARE_PAUSE_S
+            _LOG.info("no spare connection: %s", error)
+            return
+        if self._is_closed:
+            connection.abort()
+        elif connection.is_usable:
+            connection.idle_until_s = self._clock.now_s() + IDLE_DEFAULT_S
+            self._idle.insert(0, connection)
+
     def close(self) -> None:
         """Close idle connections; those in use close when their exchange ends."""
         for connection in self._open:
@@ -264,6 +292,7 @@
             else:
                 connection.is_usable = False
         self._idle.clear()
+        self._is_closed = True
 
     def close_expired(self) -> None:
         """Close connections that their server is about to close."""
@@ -285,6 +314,7 @@
         if len(self._open) + self._connecting >= self._connections_max:
             raise NotSent("all connections to the server are in use")
         loop = asyncio.get_running_loop()
+        started_s = self._clock.now_s()
         self._connecting += 1
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -296,6 +326,7 @@
         finally:
             self._connecting -= 1
         self.opened += 1
+        self.connect_s = self._clock.now_s() - started_s
         self._open.add(connection)
         return connection
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -2,9 +2,18 @@
 
 import pytest
 
-from berylchute.backends import FAILURE_PAUSE_S, PACE_AGE_MAX_S, TOLD_FADES_S, Backends, ToldLoad
+from berylchute.backends import (
+    FAILURE_PAUSE_S,
+    PACE_AGE_MAX_S,
+    SPARE_CONNECT_RATIO,
+    SPARE_CONNECTIONS,
+    TOLD_FADES_S,
+    Backends,
+    ToldLoad,
+)
 from berylchute.services import CallerLimits, RouteTable, ServerEntry, ServerList, ServicePolicy
 from tests.httpfakes import ManualClock
+from tests.test_routebook import route
 
 
 def entry(name: str, **changes: object) -> ServerEntry:
@@ -151,3 +160,35 @@
         server.pool.opened = 2
     backends.apply(ServerList((entry("i-1"),)))
     assert backends.connections_opened() == 4
+
+
+def _far(clock: ManualClock, connect_s: float) -> Backends:
+    backends = make(clock, entry("i-1"), entry("i-2"), entry("i-3", availability_zone="zb"))
+    table = RouteTable(
+        2, (route("/a/", goal_s=0.3),), (ServicePolicy("s", 390, 3.0, 10.0),), CallerLimits()
+    )
+    backends.configure(table)
+    backends.of_service("s")[0].pool.connect_s = connect_s
+    backends.of_service("s")[0].pool.opened = 1
+    backends.note_distances()
+    return backends
+
+
+def test_spares_are_wanted_where_connecting_would_make_an_answer_late() -> None:
+    clock = ManualClock()
+    backends = _far(clock, 0.11)
+    first, second, elsewhere = backends.of_service("s")
+    assert backends.wants_spare(first, 12) and backends.wants_spare(second, 12)
+    assert not backends.wants_spare(elsewhere, 12)  # nothing is known of its zone yet
+    assert list(backends.unused_servers()) == [second, elsewhere]
+    near = _far(clock, SPARE_CONNECT_RATIO * 0.3)
+    assert not near.wants_spare(near.of_service("s")[1], 12)
+
+
+def test_spares_are_not_wanted_where_servers_could_not_bear_them() -> None:
+    clock = ManualClock()
+    backends = _far(clock, 0.11)
+    _, second, _ = backends.of_service("s")
+    assert not backends.wants_spare(second, 390 // SPARE_CONNECTIONS + 1)
+    second.note_failure(clock.now_s())
+    assert not backends.wants_spare(second, 12)
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -46,8 +46,16 @@
 class _Pool:
     """Answer as scripted; a number is a wait without an answer."""
 
+    lacks_spare = True
+    connect_s: float | None = None
+
     def __init__(self, world: "_World") -> None:
         self._world = world
+        self.opened = self.spares = 0
+
+    async def open_spare(self) -> None:
+        self.spares += 1
+        self.opened += 1
 
     async def exchange(self, request: UpstreamRequest) -> ServerAnswer:
         self._world.sent.append(request.data)
@@ -110,6 +118,7 @@
             steering.handle(self.pending)
             await anyio.sleep(0.01)
             meanwhile(self)
+            steering.prepare_connections()
             with anyio.move_on_after(2.0):
                 while steering.in_flight:
                     await anyio.sleep(0.01)
@@ -269,6 +278,19 @@
     assert all(server.in_flight == 0 for server in world.all_servers)
 
 
+def test_distant_servers_get_connections_ahead_of_need_while_callers_are_served() -> None:
+    def reach_first(world: _World) -> None:
+        pool = world.all_servers[0].pool
+        pool.connect_s, pool.opened = 0.11, 1
+
+    world = _World(SAFE, 0.1)
+    world.run(meanwhile=reach_first)
+    assert [server.pool.opened for server in world.all_servers] == [1, 1, 1]
+    idle = _World(SAFE, OK)
+    idle.run(meanwhile=reach_first)
+    assert [server.pool.opened for server in idle.all_servers] == [1, 0, 0]
+
+
 def test_server_that_is_another_one_is_not_used_again() -> None:
     world = _World(ONCE, ServerAnswer(421, (), b""), OK)
     assert _status(world.run()) == 200
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -7,7 +7,13 @@
 import pytest
 
 from berylchute.exceptions import AnswerInvalid, AnswerLost, ExchangeError, NotSent
-from berylchute.upstream import ConnectionPool, ServerAnswer, UpstreamRequest, _Connection
+from berylchute.upstream import (
+    SPARE_PAUSE_S,
+    ConnectionPool,
+    ServerAnswer,
+    UpstreamRequest,
+    _Connection,
+)
 from tests.httpfakes import FakeTransport, ManualClock
 
 REQUEST = UpstreamRequest(b"id1", b"berylchute-request-id", False, b"GET / HTTP/1.1\r\n\r\n")
@@ -170,6 +176,72 @@
         asyncio.run(main())
 
 
+async def _listen() -> tuple[asyncio.Server, str]:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(_answer())
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    return server, f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
+def test_spare_connection_is_used_by_the_next_request() -> None:
+    async def main() -> None:
+        server, address = await _listen()
+        pool = ConnectionPool(address, ManualClock(), 4)
+        assert pool.lacks_spare and pool.connect_s is None
+        await pool.open_spare()
+        assert pool.opened == 1 and pool.connect_s is not None
+        await pool.exchange(REQUEST)
+        assert pool.opened == 1
+        server.close()
+
+    asyncio.run(main())
+
+
+def test_two_idle_connections_are_spare_enough() -> None:
+    async def main() -> None:
+        server, address = await _listen()
+        pool = ConnectionPool(address, ManualClock(), 4)
+        await pool.open_spare()
+        assert pool.lacks_spare  # one is left for the next request, none for one beside it
+        await pool.open_spare()
+        assert not pool.lacks_spare
+        server.close()
+
+    asyncio.run(main())
+
+
+def test_unreachable_server_is_not_asked_for_spares_at_once_again() -> None:
+    async def main() -> None:
+        server, address = await _listen()
+        server.close()
+        await server.wait_closed()
+        clock = ManualClock()
+        pool = ConnectionPool(address, clock, 4)
+        await pool.open_spare()
+        assert not pool.lacks_spare
+        clock.now += SPARE_PAUSE_S
+        assert pool.lacks_spare
+
+    asyncio.run(main())
+
+
+def test_spare_of_a_closed_pool_is_not_kept() -> None:
+    async def main() -> None:
+        server, address = await _listen()
+        pool = ConnectionPool(address, ManualClock(), 4)
+        opening = asyncio.create_task(pool.open_spare())
+        await asyncio.sleep(0)
+        pool.close()
+        await opening
+        assert not pool.lacks_spare and not pool._idle
+        server.close()
+
+    asyncio.run(main())
+
+
 def test_kept_connection_that_was_reset_is_not_used() -> None:
     async def main() -> None:
         resets = asyncio.Event()
