--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEEDS ?= 2
 SECONDS ?= 8
 
-.PHONY: setup test lint demo soak
+.PHONY: setup test lint demo soak soak-regressions
 
 setup: $(STAMP)
 
@@ -26,5 +26,8 @@
 demo: setup
 	$(PYTHON) -m lab.demo
 
+soak-regressions: setup
+	PYTHONPATH=platform $(PYTHON) -m soak --regressions
+
 soak: setup
 	PYTHONPATH=platform $(PYTHON) -m soak --seeds $(SEEDS) --seconds $(SECONDS) $(if $(FIRST),--first $(FIRST))
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,8 +1,9 @@
-"""Run seeds of the soak and report them: python -m soak --seeds 3 --seconds 10."""
+"""Run seeds of the soak and report them: `make soak SEEDS=3 SECONDS=10`."""
 
 import argparse
 import asyncio
 import time
+import tomllib
 from collections import Counter
 from pathlib import Path
 
@@ -12,6 +13,7 @@
 from soak.records import Records, find_violations
 from soak.world import SoakWorld
 
+REGRESSIONS = Path(__file__).parent / "regressions.toml"
 # Share of requests below which a soak proves nothing.
 ANSWERED_RATIO_MIN = 0.3
 
@@ -28,12 +30,21 @@
     violations: list[str]
 
 
-def play(seed: int, options: argparse.Namespace) -> Report:
+@attrs.frozen
+class Case:
+    """A seed to play for a time."""
+
+    seed: int
+    seconds: float
+
+
+def play(case: Case, options: argparse.Namespace) -> Report:
     """Run one seed and return its report."""
+    seed = case.seed
     out = Path(options.out) / f"seed-{seed}"
     out.mkdir(parents=True, exist_ok=True)
     world = SoakWorld(seed, out, options.edges, options.servers, options.callers)
-    asyncio.run(world.run(options.seconds))
+    asyncio.run(world.run(case.seconds))
     report = _report(seed, world.records)
     (out / "report.json").write_bytes(msgspec.json.encode(report))
     (out / "records.json").write_bytes(msgspec.json.encode(world.records))
@@ -82,6 +93,14 @@
     pyplot.close(figure)
 
 
+def _cases(options: argparse.Namespace) -> list[Case]:
+    if options.regressions:
+        listed = tomllib.loads(REGRESSIONS.read_text(encoding="utf-8"))["case"]
+        return [Case(item["seed"], item["seconds"]) for item in listed]
+    first = options.first if options.first is not None else int(time.time())
+    return [Case(seed, options.seconds) for seed in range(first, first + options.seeds)]
+
+
 def main() -> None:
     """Run the seeds; leave with 1 if any promise was broken."""
     parser = argparse.ArgumentParser(prog="soak", description=__doc__)
@@ -93,11 +112,13 @@
     parser.add_argument("--callers", type=int, default=12)
     parser.add_argument("--out", default="out/soak")
     parser.add_argument("--plot", action="store_true")
+    parser.add_argument("--regressions", action="store_true", help="play seeds that once failed")
     options = parser.parse_args()
-    first = options.first if options.first is not None else int(time.time())
+    cases = _cases(options)
     failed = 0
-    for seed in range(first, first + options.seeds):
-        report = play(seed, options)
+    for case in cases:
+        seed = case.seed
+        report = play(case, options)
         if options.plot:
             _plot(seed, Path(options.out))
         verdict = "ok" if not report.violations else "FAILED"
@@ -110,8 +131,8 @@
             print(f"  {violation}")
         if report.violations:
             failed += 1
-            print(f"  again: python -m soak --first {seed} --seconds {options.seconds:g}")
-    print(f"{options.seeds - failed} passed, {failed} failed")
+            print(f"  again: make soak FIRST={seed} SEEDS=1 SECONDS={case.seconds:g}")
+    print(f"{len(cases) - failed} passed, {failed} failed")
     raise SystemExit(1 if failed else 0)
 
 
