--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,6 +5,7 @@
 import time
 import tomllib
 from collections import Counter
+from collections.abc import Sequence
 from pathlib import Path
 
 import attrs
@@ -27,6 +28,8 @@
     answered: int
     runs: int
     disturbances: int
+    p50_ms: float
+    p99_ms: float
     violations: list[str]
 
 
@@ -43,7 +46,9 @@
     seed = case.seed
     out = Path(options.out) / f"seed-{seed}"
     out.mkdir(parents=True, exist_ok=True)
-    world = SoakWorld(seed, out, options.edges, options.servers, options.callers)
+    world = SoakWorld(
+        seed, out, options.edges, options.servers, options.callers, options.blocked_logs
+    )
     asyncio.run(world.run(case.seconds))
     report = _report(seed, world.records)
     (out / "report.json").write_bytes(msgspec.json.encode(report))
@@ -56,16 +61,27 @@
     answered = sum(request.status == 200 for request in records.requests)
     if answered < ANSWERED_RATIO_MIN * max(1, len(records.requests)):
         violations.append(f"served: {answered} of {len(records.requests)} requests answered")
+    times_ms = sorted(
+        1000.0 * (request.ended_s - request.sent_s)
+        for request in records.requests
+        if request.status == 200
+    )
     return Report(
         seed,
         len(records.requests),
         answered,
         len(records.runs),
         len(records.disturbances),
+        _quantile(times_ms, 0.5),
+        _quantile(times_ms, 0.99),
         violations,
     )
 
 
+def _quantile(ordered: Sequence[float], share: float) -> float:
+    return round(ordered[int(share * (len(ordered) - 1))], 1) if ordered else 0.0
+
+
 def _plot(seed: int, out: Path) -> None:
     """Draw answers and faults over time; needs matplotlib."""
     import matplotlib
@@ -112,6 +128,9 @@
     parser.add_argument("--callers", type=int, default=12)
     parser.add_argument("--out", default="out/soak")
     parser.add_argument("--plot", action="store_true")
+    parser.add_argument(
+        "--blocked-logs", action="store_true", help="nobody reads what the edges log"
+    )
     parser.add_argument("--regressions", action="store_true", help="play seeds that once failed")
     options = parser.parse_args()
     cases = _cases(options)
@@ -124,7 +143,8 @@
         verdict = "ok" if not report.violations else "FAILED"
         print(
             f"seed {seed}: {verdict}, {report.answered} of {report.requests} answered, "
-            f"{report.runs} runs, {report.disturbances} disturbances",
+            f"{report.runs} runs, {report.disturbances} disturbances, "
+            f"p50 {report.p50_ms} ms, p99 {report.p99_ms} ms",
             flush=True,
         )
         for violation in report.violations[:20]:
--- a/soak/world.py
+++ b/soak/world.py
@@ -39,8 +39,18 @@
 class SoakWorld:
     """One deployment on loopback."""
 
-    def __init__(self, seed: int, out: Path, edges: int, servers: int, callers: int) -> None:
+    def __init__(
+        self,
+        seed: int,
+        out: Path,
+        edges: int,
+        servers: int,
+        callers: int,
+        blocks_logs: bool = False,
+    ) -> None:
+        """Lay out ports and parts; with `blocks_logs` nobody reads what the edges log."""
         self.records = Records()
+        self._blocks_logs = blocks_logs
         self._rng = Random(seed)
         self._out = out
         ports = iter(free_ports(2 + 6 * edges + 2 * servers * 4))
@@ -129,7 +139,8 @@
             edge.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 str(ROOT / "platform/edge.py"),
-                stdout=log,
+                # A pipe that is not read takes some 100 KB and then blocks.
+                stdout=asyncio.subprocess.PIPE if self._blocks_logs else log,
                 stderr=log,
                 env={**os.environ, **wire.settings_environment(settings)},
             )
