Choose the sender to a cold server once per change of members, and tell readiness at once

Cause: each request that met a cold server hashed all members (300 hashes at 300 members), each send counted them to decide on spare connections, and a start told its readiness up to 0.25 s after it had routes and servers. Change: ColdSenders keeps choices until the live members change; members are counted where a spare is wanted otherwise; readiness is told when an object makes the process ready. Ruled out: nothing.

--- a/berylchute/backends.py
+++ b/berylchute/backends.py
@@ -1,7 +1,7 @@
 """Track the registered backend servers: who may receive work, and how loaded each is."""
 
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from hashlib import blake2b
 
 import attrs
@@ -263,7 +263,7 @@
         server.next_cold_send_s = now_s + 1.0 / max(rate_per_s, 0.1)
         return True
 
-    def wants_spare(self, server: Server, members: int) -> bool:
+    def wants_spare(self, server: Server, member_count: Callable[[], int]) -> bool:
         """Tell whether a connection should be opened before the next request needs it."""
         connect_s = self._zone_connect_s.get(server.entry.availability_zone)
         if connect_s is None or not server.pool.lacks_spare or not self.is_open(server):
@@ -273,8 +273,8 @@
         borne = policy.connections_max if policy else 0
         return (
             connect_s > SPARE_CONNECT_RATIO * goal_s
-            and members * SPARE_CONNECTIONS <= borne
             and not server.failures
+            and member_count() * SPARE_CONNECTIONS <= borne
         )
 
     def unused_servers(self) -> Sequence[Server]:
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -16,7 +16,7 @@
 from berylchute.collection import Collection, CollectionFeed, CollectionStore
 from berylchute.dialect import Dialect
 from berylchute.directory import Directory
-from berylchute.duties import is_cold_sender, is_watcher
+from berylchute.duties import ColdSenders, is_watcher
 from berylchute.edgemetrics import EdgeMetrics, EdgeState
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import ConfigError, SettingsError
@@ -96,6 +96,7 @@
             settings.zone_regions,
         )
         self._directory = Directory()
+        self._cold_senders = ColdSenders(host)
         self._background = Background()
         self._metrics = EdgeMetrics()
         self._feeds = [
@@ -108,6 +109,7 @@
         self._callers = CallerServer(self._steering.handle, self._clock, settings.dialect)
         self._servers = {settings.node.listen.http: self._callers}
         self._is_stopping = False
+        self._told_ready = False
         self._taken_s: dict[str, float] = {}
         self._members: Sequence[MemberStatus] = ()
         self._metrics.read_state = self._state
@@ -140,6 +142,11 @@
         """Return the directory of the members that take callers."""
         return self._directory
 
+    @property
+    def is_told_ready(self) -> bool:
+        """Tell what the other members were last told of `is_ready`."""
+        return self._told_ready
+
     @property
     def retry_bounds(self) -> RetryBounds:
         """Return the bounds of repeats in force."""
@@ -181,6 +188,7 @@
                 self._take(current)
             except ConfigError as error:
                 self._log.event("object_rejected", key=stored.key, reason=str(error))
+            self._report_ready()
 
     def _take(self, stored: StoredObject) -> None:
         value = decode(stored.key, stored.value)
@@ -210,20 +218,17 @@
         return is_watcher(self._node.record.host_id, self._node.members.statuses())
 
     def _is_cold_sender(self, server_id: str) -> bool:
-        return is_cold_sender(self._node.record.host_id, server_id, self._node.members.statuses())
+        return self._cold_senders.is_own(server_id, self._node.members.statuses())
 
     async def _report_forever(self) -> None:
-        is_ready = is_watching = False
+        is_watching = False
         while True:
             statuses = self._node.members.statuses()
             self._log_members(statuses)
             self._directory.update(statuses)
             self._backends.close_expired()
             self._steering.prepare_connections()
-            if self.is_ready is not is_ready:
-                is_ready = not is_ready
-                self._node.set_ready(is_ready)
-                self._log.event("ready", ready=is_ready)
+            self._report_ready()
             watching = all(feed.is_in_touch for feed in self._feeds)
             if watching is not is_watching:
                 is_watching = watching
@@ -231,6 +236,12 @@
                 self._log.event("store_watch", watching=is_watching)
             await anyio.sleep(REPORT_S)
 
+    def _report_ready(self) -> None:
+        if self.is_ready is not self._told_ready:
+            self._told_ready = self.is_ready
+            self._node.set_ready(self._told_ready)
+            self._log.event("ready", ready=self._told_ready)
+
     def _log_members(self, statuses: Sequence[MemberStatus]) -> None:
         if statuses is self._members:
             return
--- a/berylchute/steering.py
+++ b/berylchute/steering.py
@@ -179,7 +179,7 @@
         self._backends.note_distances()
         if self.in_flight:
             for server in self._backends.unused_servers():
-                if self._backends.wants_spare(server, self._member_count()):
+                if self._backends.wants_spare(server, self._member_count):
                     self._background.spawn(server.pool.open_spare)
 
     async def _attempt(self, work: _Work) -> bool:
@@ -213,7 +213,7 @@
         work.attempts.append(attempt)
         server.in_flight += 1
         self._metrics.sent.inc()
-        if self._backends.wants_spare(server, self._member_count()):
+        if self._backends.wants_spare(server, self._member_count):
             self._background.spawn(server.pool.open_spare)
         try:
             answer = await server.pool.exchange(self._encode(work, server, now_s))
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -178,17 +178,17 @@
     clock = ManualClock()
     backends = _far(clock, 0.11)
     first, second, elsewhere = backends.of_service("s")
-    assert backends.wants_spare(first, 12) and backends.wants_spare(second, 12)
-    assert not backends.wants_spare(elsewhere, 12)  # nothing is known of its zone yet
+    assert backends.wants_spare(first, lambda: 12) and backends.wants_spare(second, lambda: 12)
+    assert not backends.wants_spare(elsewhere, lambda: 12)  # nothing is known of its zone yet
     assert list(backends.unused_servers()) == [second, elsewhere]
     near = _far(clock, SPARE_CONNECT_RATIO * 0.3)
-    assert not near.wants_spare(near.of_service("s")[1], 12)
+    assert not near.wants_spare(near.of_service("s")[1], lambda: 12)
 
 
 def test_spares_are_not_wanted_where_servers_could_not_bear_them() -> None:
     clock = ManualClock()
     backends = _far(clock, 0.11)
     _, second, _ = backends.of_service("s")
-    assert not backends.wants_spare(second, 390 // SPARE_CONNECTIONS + 1)
+    assert not backends.wants_spare(second, lambda: 390 // SPARE_CONNECTIONS + 1)
     second.note_failure(clock.now_s())
-    assert not backends.wants_spare(second, 12)
+    assert not backends.wants_spare(second, lambda: 12)
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -1,6 +1,8 @@
 """Guard that few members follow the store, that others take over, and cold servers have one."""
 
-from berylchute.duties import WATCHERS, is_cold_sender, is_watcher
+import pytest
+
+from berylchute.duties import WATCHERS, ColdSenders, is_watcher
 from berylchute.types import MemberState, MemberStatus
 from tests.test_directory import member
 
@@ -45,9 +47,24 @@
 
 def test_cold_server_has_one_sender_that_moves_only_with_it() -> None:
     everyone = fleet(set())
-    senders = [name for name in NAMES if is_cold_sender(name, "i-1", everyone)]
+    members = {name: ColdSenders(name) for name in NAMES}
+    senders = [name for name in NAMES if members[name].is_own("i-1", everyone)]
     assert len(senders) == 1
+    # The same objects decide anew once a member is gone.
     others = fleet(set(), lost=frozenset(senders))
-    assert sum(is_cold_sender(name, "i-1", others) for name in NAMES if name not in senders) == 1
-    spread = {n for s in range(50) for n in NAMES if is_cold_sender(n, f"i-{s}", everyone)}
+    assert sum(members[n].is_own("i-1", others) for n in NAMES if n not in senders) == 1
+    spread = {n for s in range(50) for n in NAMES if members[n].is_own(f"i-{s}", everyone)}
     assert len(spread) > len(NAMES) // 2
+
+
+def test_choice_of_a_sender_is_kept_while_the_same_members_live(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    sender = ColdSenders("m1")
+    first = sender.is_own("i-1", fleet(set()))
+    monkeypatch.setattr("berylchute.duties._weight", _fail)
+    assert sender.is_own("i-1", fleet({"m2"})) is first  # another list of the same members
+
+
+def _fail(_key: str, _host_id: str) -> bytes:
+    raise AssertionError("chosen again")
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -10,7 +10,7 @@
 import pytest
 
 from berylchute.collection import Changes, Collection, Listing
-from berylchute.edge import Edge, EdgeSettings
+from berylchute.edge import REPORT_S, Edge, EdgeSettings
 from berylchute.exceptions import SettingsError, StoreUnavailable
 from berylchute.retrybudget import RetryBounds
 from berylchute.services import (
@@ -150,6 +150,16 @@
     asyncio.run(_World().run(act))
 
 
+def test_member_tells_at_once_that_it_is_ready() -> None:
+    async def act(world: _World) -> None:
+        await world.until_ready()
+        # Sooner than the period of the own report.
+        await asyncio.sleep(REPORT_S / 5.0)
+        assert world.edge.is_told_ready
+
+    asyncio.run(_World().run(act))
+
+
 def test_nothing_is_promised_before_the_store_has_answered() -> None:
     async def act(world: _World) -> None:
         async with asyncio.timeout(WAIT_S):
