--- a/berylchute/backends.py
+++ b/berylchute/backends.py
@@ -61,6 +61,17 @@
     slots: int
     pace: int = 100
 
+    @classmethod
+    def parse(cls, value: bytes | None) -> "ToldLoad | None":
+        """Return the load in a header's value, None where it tells none."""
+        if value is None:
+            return None
+        try:
+            numbers = [int(part) for part in value.split(b",")]
+            return cls(*numbers[:4])
+        except (ValueError, TypeError):
+            return None
+
 
 @attrs.define(eq=False)
 class Server:
--- a/berylchute/steering.py
+++ b/berylchute/steering.py
@@ -2,15 +2,15 @@
 
 import math
 from collections.abc import Callable
-from enum import StrEnum
 from random import Random
 
 import anyio
 import attrs
 
+from berylchute.attempts import Attempt, Outcome, Work, encode_request, round_ms
 from berylchute.backends import Backends, Server, ToldLoad
 from berylchute.background import Background
-from berylchute.callers import Answer, CallerRequest, Header, Pending
+from berylchute.callers import Answer, Header, Pending
 from berylchute.dialect import Dialect
 from berylchute.edgemetrics import EdgeMetrics
 from berylchute.eventlog import EventLog
@@ -20,9 +20,9 @@
 from berylchute.selection import Choice, Selector
 from berylchute.services import Route, RouteKind
 from berylchute.types import Clock
-from berylchute.upstream import ServerAnswer, UpstreamRequest
+from berylchute.upstream import ServerAnswer
 
-__all__ = ["Attempt", "Outcome", "Steering"]
+__all__ = ["Steering"]
 
 # Share of the time that a caller has left after which it is asked to come back, drawn anew for
 # each refusal so that the returns spread. Callers wait at most a third of it; earlier returns
@@ -38,64 +38,6 @@
 NOT_SENT_MAX = 3
 
 
-class Outcome(StrEnum):
-    """How a request ended."""
-
-    ANSWERED = "answered"
-    SERVER_FAILED = "server_failed"
-    REFUSED = "refused"
-    NO_ROUTE = "no_route"
-    STARTING = "starting"
-    TIMED_OUT = "timed_out"
-    ANSWER_LOST = "answer_lost"
-    CALLER_LEFT = "caller_left"
-
-
-@attrs.define(eq=False)
-class Attempt:
-    """One send of a request: the server, the figures that chose it, and how it ended.
-
-    `rank` is the server's place in the order of the request's key; `load_age_ms` is None where
-    the server has not told its load yet.
-    """
-
-    server: str
-    rank: int
-    load: float
-    load_age_ms: float | None
-    pace: int
-    at_ms: float
-    result: str = "no_answer"
-    server_ms: float = 0.0
-
-
-@attrs.define(eq=False)
-class _Work:
-    """One request while it is carried.
-
-    `may_have_run`: a server may have worked on it, so that "not run" must not be told any more.
-    `failure` is what a server answered before the request was repeated.
-    """
-
-    pending: Pending
-    request: CallerRequest
-    route: Route
-    service: str
-    key: str
-    limit_s: float
-    attempts: list[Attempt] = attrs.Factory(list)
-    sent: int = 0
-    not_sent: int = 0
-    reason: str = ""
-    may_have_run: bool = False
-    failure: ServerAnswer | None = None
-
-    @property
-    def tried(self) -> list[str]:
-        """Return the servers that were tried."""
-        return [attempt.server for attempt in self.attempts]
-
-
 class Steering:
     """Decide for each request; all methods run in the event loop's thread."""
 
@@ -146,7 +88,7 @@
         left_s = TIME_LEFT_DEFAULT_S
         if request.time_left_ms is not None:
             left_s = request.time_left_ms / 1000.0
-        work = _Work(
+        work = Work(
             pending=pending,
             request=request,
             route=route,
@@ -157,7 +99,7 @@
         self._budget(work.service).note_request(self._clock.now_s())
         self._background.spawn(self._carry, work)
 
-    async def _carry(self, work: _Work) -> None:
+    async def _carry(self, work: Work) -> None:
         self.in_flight += 1
         try:
             with anyio.move_on_after(work.limit_s - self._clock.now_s()) as scope:
@@ -182,7 +124,7 @@
                 if self._backends.wants_spare(server, self._member_count):
                     self._background.spawn(server.pool.open_spare)
 
-    async def _attempt(self, work: _Work) -> bool:
+    async def _attempt(self, work: Work) -> bool:
         """Send the request once; tell whether it has ended."""
         now_s = self._clock.now_s()
         choice = self._selector.choose(
@@ -206,9 +148,9 @@
             server.entry.server_id,
             choice.rank,
             round(choice.load, 2),
-            _age_ms(choice.told_age_s),
+            round_ms(choice.told_age_s) if math.isfinite(choice.told_age_s) else None,
             server.pace(now_s),
-            at_ms=_ms(now_s - work.request.received_s),
+            at_ms=round_ms(now_s - work.request.received_s),
         )
         work.attempts.append(attempt)
         server.in_flight += 1
@@ -216,7 +158,9 @@
         if self._backends.wants_spare(server, self._member_count):
             self._background.spawn(server.pool.open_spare)
         try:
-            answer = await server.pool.exchange(self._encode(work, server, now_s))
+            answer = await server.pool.exchange(
+                encode_request(self._dialect, work, server.entry.server_id, now_s)
+            )
             attempt.result = str(answer.status)
         except NotSent as error:
             attempt.result = error.code
@@ -227,12 +171,12 @@
         finally:
             server.in_flight -= 1
             seconds = self._clock.now_s() - now_s
-            attempt.server_ms = _ms(seconds)
+            attempt.server_ms = round_ms(seconds)
             self._metrics.note_attempt(work.service, attempt.result, seconds)
         work.sent += 1
         return self._take_answer(work, server, answer, seconds)
 
-    def _take_not_sent(self, work: _Work, server: Server, error: NotSent) -> bool:
+    def _take_not_sent(self, work: Work, server: Server, error: NotSent) -> bool:
         work.not_sent += 1
         work.reason = error.code
         self._note_failure(server, error)
@@ -241,7 +185,7 @@
             return True
         return False
 
-    def _take_lost(self, work: _Work, server: Server, error: ExchangeError) -> bool:
+    def _take_lost(self, work: Work, server: Server, error: ExchangeError) -> bool:
         work.sent += 1
         work.reason = error.code
         work.may_have_run = True
@@ -253,10 +197,10 @@
         return True
 
     def _take_answer(
-        self, work: _Work, server: Server, answer: ServerAnswer, seconds: float
+        self, work: Work, server: Server, answer: ServerAnswer, seconds: float
     ) -> bool:
         now_s = self._clock.now_s()
-        told = _parse_load(answer.find(self._dialect.load))
+        told = ToldLoad.parse(answer.find(self._dialect.load))
         if told is not None:
             server.note_load(told, now_s)
             if answer.status < 300:
@@ -285,11 +229,11 @@
         self._pass_on(work, outcome, answer)
         return True
 
-    def _pass_on(self, work: _Work, outcome: Outcome, answer: ServerAnswer) -> None:
+    def _pass_on(self, work: Work, outcome: Outcome, answer: ServerAnswer) -> None:
         """End the request with a server's answer as it is."""
         self._end(work.pending, work, outcome, Answer(answer.status, answer.headers, answer.body))
 
-    def _may_repeat_failure(self, work: _Work, now_s: float) -> bool:
+    def _may_repeat_failure(self, work: Work, now_s: float) -> bool:
         return (
             work.route.kind.is_idempotent
             and work.sent < work.route.attempts_max
@@ -297,11 +241,11 @@
             and self._budget(work.service).left(self._member_count(), now_s) >= 1.0
         )
 
-    def _refuse(self, work: _Work, choice: Choice) -> None:
+    def _refuse(self, work: Work, choice: Choice) -> None:
         work.reason = work.reason or str(choice.refusal)
         self._give_up(work, choice)
 
-    def _give_up(self, work: _Work, choice: Choice | None = None) -> None:
+    def _give_up(self, work: Work, choice: Choice | None = None) -> None:
         """End a request without an answer to its last attempt.
 
         Where it has not run, it is refused with the time to come back.
@@ -322,7 +266,7 @@
     def _end(
         self,
         pending: Pending,
-        work: _Work | None,
+        work: Work | None,
         outcome: Outcome,
         answer: Answer | None,
         choice: Choice | None = None,
@@ -352,12 +296,12 @@
             attempts=work.attempts if work else (),
             refused_at_load=round(choice.load, 2) if choice else None,
             retries_left=self._retries_left(work),
-            total_ms=_ms(total_s),
+            total_ms=round_ms(total_s),
             time_left_ms=request.time_left_ms,
             routes_number=table.number if table else 0,
         )
 
-    def _retries_left(self, work: _Work | None) -> float | None:
+    def _retries_left(self, work: Work | None) -> float | None:
         """Return what is left of the service's retry budget if the request used or wanted it."""
         if work is None or not work.reason:
             return None
@@ -375,23 +319,6 @@
             failures=server.failures,
         )
 
-    def _encode(self, work: _Work, server: Server, now_s: float) -> UpstreamRequest:
-        request, dialect = work.request, self._dialect
-        left_ms = max(1, int((work.limit_s - now_s) * 1000.0))
-        lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
-        lines += [b"%s: %s" % header for header in request.headers]
-        lines.append(b"%s: %d" % (dialect.deadline_ms.title(), left_ms))
-        server_id = server.entry.server_id.encode("latin-1")
-        lines.append(b"%s: %s" % (dialect.expected_server.title(), server_id))
-        if request.body or request.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
-            lines.append(b"Content-Length: %d" % len(request.body))
-        return UpstreamRequest(
-            request_id=request.request_id.encode("latin-1"),
-            id_header=dialect.request_id,
-            is_head=request.method == b"HEAD",
-            data=b"\r\n".join(lines) + b"\r\n\r\n" + request.body,
-        )
-
     def _is_home(self, route: Route, availability_zone: str) -> bool:
         if not route.home_regions:
             return True
@@ -407,21 +334,3 @@
 
 def _retry_after(delay_s: float) -> Header:
     return (b"Retry-After", b"%.3f" % delay_s)
-
-
-def _ms(seconds: float) -> float:
-    return round(seconds * 1000.0, 1)
-
-
-def _age_ms(age_s: float) -> float | None:
-    return _ms(age_s) if math.isfinite(age_s) else None
-
-
-def _parse_load(value: bytes | None) -> ToldLoad | None:
-    if value is None:
-        return None
-    try:
-        numbers = [int(part) for part in value.split(b",")]
-        return ToldLoad(*numbers[:4])
-    except (ValueError, TypeError):
-        return None
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -47,6 +47,13 @@
     assert [server.entry.server_id for server in backends.order("s", "k")] == before[1:]
 
 
+def test_told_load_that_cannot_be_read_tells_nothing() -> None:
+    assert ToldLoad.parse(b"3,0,8,120") == ToldLoad(3, 0, 8, 120)
+    assert ToldLoad.parse(b"3,0,8") == ToldLoad(3, 0, 8, 100)
+    for value in (None, b"", b"3,0", b"many,0,8"):
+        assert ToldLoad.parse(value) is None
+
+
 def test_load_counts_own_requests_and_fading_ones_of_others() -> None:
     clock = ManualClock()
     server = make(clock, entry("i-1")).of_service("s")[0]
