--- a/soak/world.py
+++ b/soak/world.py
@@ -51,6 +51,7 @@
         """Lay out ports and parts; with `blocks_logs` nobody reads what the edges log."""
         self.records = Records()
         self._blocks_logs = blocks_logs
+        self._pipe: tuple[int, ...] = ()
         self._rng = Random(seed)
         self._out = out
         ports = iter(free_ports(2 + 6 * edges + 2 * servers * 4))
@@ -82,6 +83,8 @@
         finally:
             await asyncio.gather(*(_end(process) for process in self._processes))
             self._store_proxy.close()
+            for descriptor in self._pipe:
+                os.close(descriptor)
 
     def _callers(self, end_s: float) -> list[Awaitable[None]]:
         directories = [edge.addresses.directory for edge in self._edges]
@@ -139,12 +142,17 @@
             edge.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 str(ROOT / "platform/edge.py"),
-                # A pipe that is not read takes some 100 KB and then blocks.
-                stdout=asyncio.subprocess.PIPE if self._blocks_logs else log,
+                stdout=self._unread_pipe() if self._blocks_logs else log,
                 stderr=log,
                 env={**os.environ, **wire.settings_environment(settings)},
             )
 
+    def _unread_pipe(self) -> int:
+        """Return the writing end of a pipe that takes 64 KiB; its reading end stays open."""
+        if not self._pipe:
+            self._pipe = os.pipe()
+        return self._pipe[1]
+
     def _signal(self, edge: _Edge, number: int) -> bool:
         """Send a signal to an edge's process if it runs."""
         if edge.process is None or edge.process.returncode is not None:
