--- a/berylchute/steering.py
+++ b/berylchute/steering.py
@@ -124,10 +124,8 @@
                 if self._backends.wants_spare(server, self._member_count):
                     self._background.spawn(server.pool.open_spare)
 
-    async def _attempt(self, work: Work) -> bool:
-        """Send the request once; tell whether it has ended."""
-        now_s = self._clock.now_s()
-        choice = self._selector.choose(
+    def _choose(self, work: Work, now_s: float) -> Choice:
+        return self._selector.choose(
             work.service,
             work.key,
             work.route.goal_s,
@@ -136,6 +134,11 @@
             work.tried,
             now_s,
         )
+
+    async def _attempt(self, work: Work) -> bool:
+        """Send the request once; tell whether it has ended."""
+        now_s = self._clock.now_s()
+        choice = self._choose(work, now_s)
         server = choice.server
         if server is None:
             self._refuse(work, choice)
@@ -144,15 +147,7 @@
             work.reason = f"{work.reason}, no retry budget"
             self._give_up(work)
             return True
-        attempt = Attempt(
-            server.entry.server_id,
-            choice.rank,
-            round(choice.load, 2),
-            round_ms(choice.told_age_s) if math.isfinite(choice.told_age_s) else None,
-            server.pace(now_s),
-            at_ms=round_ms(now_s - work.request.received_s),
-        )
-        work.attempts.append(attempt)
+        attempt = _new_attempt(work, server, choice, now_s)
         server.in_flight += 1
         self._metrics.sent.inc()
         if self._backends.wants_spare(server, self._member_count):
@@ -334,3 +329,16 @@
 
 def _retry_after(delay_s: float) -> Header:
     return (b"Retry-After", b"%.3f" % delay_s)
+
+
+def _new_attempt(work: Work, server: Server, choice: Choice, now_s: float) -> Attempt:
+    attempt = Attempt(
+        server.entry.server_id,
+        choice.rank,
+        round(choice.load, 2),
+        round_ms(choice.told_age_s) if math.isfinite(choice.told_age_s) else None,
+        server.pace(now_s),
+        at_ms=round_ms(now_s - work.request.received_s),
+    )
+    work.attempts.append(attempt)
+    return attempt
