Compare deadlines in the lending simulation on the ledger's clock

Cause: a request's end was converted from its host's clock to real time and back, which rounds; a request counted as running 4e-14 s after its host had freed its units, and caps_hold saw 9 units of 8. Ruled out: the ledger; it never granted more units than its cap on its own clock. Change: a running request ends when its host's clock reaches the reservation's end, the comparison that the ledger makes.

--- a/lab/lending_world.py
+++ b/lab/lending_world.py
@@ -31,7 +31,13 @@
 
     host: "SimHost"
     reservation: Reservation
-    ends_s: float
+
+    def has_ended(self, now_s: float) -> bool:
+        """Return whether its deadline has passed at a real time.
+
+        Compared on the clock of its host, as in the ledger: a conversion to real time rounds.
+        """
+        return self.host.to_local_s(now_s) >= self.reservation.until_s
 
 
 @attrs.define(eq=False)
@@ -51,10 +57,6 @@
         """Return the monotonic time of this host's clock at a real time."""
         return self.offset_s + self.clock_rate * now_s
 
-    def to_real_s(self, local_s: float) -> float:
-        """Return the real time at which this host's clock shows `local_s`."""
-        return (local_s - self.offset_s) / self.clock_rate
-
 
 class LendingSimulation:
     """Simulation of hosts, the messages between them and the requests that run at servers."""
@@ -118,7 +120,7 @@
         if reservation is None:
             host.ledger.record_demand(units, local_s + request_s, local_s)
             return None
-        request = RunningRequest(host, reservation, host.to_real_s(reservation.until_s))
+        request = RunningRequest(host, reservation)
         self.running_requests.append(request)
         return request
 
@@ -165,7 +167,7 @@
         """Advance the virtual clock; requests whose deadline has passed end."""
         self.now_s += duration_s
         self.running_requests = [
-            request for request in self.running_requests if request.ends_s > self.now_s
+            request for request in self.running_requests if not request.has_ended(self.now_s)
         ]
 
     def count_units_in_use(self, resource: ResourceId) -> int:
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -163,6 +163,20 @@
         machine.caps_hold()
 
 
+def test_request_ends_when_its_units_are_free() -> None:
+    """Guard against a request that counts as running when its host has already freed its units."""
+    machine = LendingMachine()
+    machine.fill("b", 1)
+    for _ in range(8):
+        machine.pass_time(0.001)
+    machine.fill("a", 1)
+    machine.pass_time(1.0)
+    machine.pass_time(2.0)
+    machine.fill("a", 1)
+    machine.fill("b", 1)
+    machine.caps_hold()
+
+
 def saturate(simulation: LendingSimulation, host: SimHost, run_s: float, for_s: float) -> int:
     """Keep one host short of units for `for_s`; return the units in use in the last step."""
     ends_s = simulation.now_s + for_s
