Bound the bytes and the memory of answers that never end

Cause: heads, interim answers, chunk sizes and trailers of a server's answer had no limit, bodies only one of their own, clients of the store, of health endpoints and of hosts read whole bodies with timeouts that began anew at each byte. A deadline that passed at a silent or trickling server did not count as its failure; 1,024 failures overflowed the backoff and ended the request without an answer; retries were counted before they were sent. Change: answerlimits decides on the bytes of an exchange and on the sum of all bodies in flight (a quarter of the host's memory; the largest answer is dropped). upstream parses in parts and checks after each; serverstreams counts for httpcore; responses reads store, health and host responses within limits and one time. A Content-Length is digits only. The soak's servers send heads and bodies without end. Not bounded: frames of one message from a peer of the own fleet; libzmq limits each frame (2 MB), not their number.

--- a/berylchute/attempts.py
+++ b/berylchute/attempts.py
@@ -51,7 +51,8 @@
 
     `deadline_s` is a time of the process's clock. `may_have_run` means that a server may have
     processed the request, so the caller must not be told that it did not run. `failed_answer` is
-    the server error that caused a retry.
+    the server error that caused a retry. `retry_cause` is the cause of
+    the next attempt, empty before the first failed one.
     """
 
     pending: PendingRequest
@@ -64,6 +65,7 @@
     send_count: int = 0
     not_sent_count: int = 0
     reason: str = ""
+    retry_cause: str = ""
     may_have_run: bool = False
     failed_answer: ServerAnswer | None = None
 
--- a/berylchute/backends.py
+++ b/berylchute/backends.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from berylchute.answerlimits import AnswerMemory
 from berylchute.regions import RegionShare, region_of_key, region_shares
 from berylchute.sharedobjects import RouteTable, ServerEntry, ServerList, ServicePolicy
 from berylchute.types import Clock
@@ -33,6 +34,8 @@
 # one lost request in 3 s is enough to detect the end of a longer outage.
 FAILURE_BACKOFF_S = 0.3
 FAILURE_BACKOFF_MAX_S = 3.0
+# Failures beyond this one don't lengthen the backoff.
+BACKOFF_DOUBLINGS_MAX = 8
 # Keys whose preference order is cached; further keys only cost hashing.
 CACHED_ORDERS_MAX = 4096
 # Servers of a key's own region that precede those of other regions. With two of them, a crowded
@@ -92,7 +95,9 @@
     reported: ReportedLoad | None = None
     reported_at_s: float = -math.inf
     in_flight_at_report: int = 0
+    answered_at_s: float = -math.inf
     failures: int = 0
+    may_have_restarted: bool = False
     backoff_until_s: float = 0.0
     is_replaced: bool = False
     next_cold_send_s: float = 0.0
@@ -139,17 +144,29 @@
         """Record the load that the server reported with an answer."""
         self.reported, self.reported_at_s, self.in_flight_at_report = load, now_s, self.in_flight
 
-    def record_success(self) -> None:
-        """Reset the failure count and end the backoff."""
+    def record_success(self, now_s: float) -> None:
+        """Record an answer: reset the failure count and end the backoff."""
+        self.answered_at_s = now_s
         self.failures = 0
+        self.may_have_restarted = False
         self.backoff_until_s = 0.0
 
     def record_failure(self, now_s: float) -> None:
         """Count a failure and start the backoff, which doubles with each failure."""
-        backoff_s = min(FAILURE_BACKOFF_MAX_S, FAILURE_BACKOFF_S * 2.0**self.failures)
+        doublings = min(self.failures, BACKOFF_DOUBLINGS_MAX)
+        backoff_s = min(FAILURE_BACKOFF_MAX_S, FAILURE_BACKOFF_S * 2.0**doublings)
         self.failures += 1
+        self.may_have_restarted = True
         self.backoff_until_s = now_s + backoff_s
 
+    def record_timeout(self, sent_s: float, now_s: float) -> None:
+        """Count a request without an answer as a failure, unless others were answered since."""
+        if self.answered_at_s < sent_s:
+            # A server that was only slow keeps its caches, so that it needs no warm-up.
+            may_have_restarted = self.may_have_restarted
+            self.record_failure(now_s)
+            self.may_have_restarted = may_have_restarted
+
     def is_cold(self, now_s: float) -> bool:
         """Return whether the server is warming up and limited to its cold rate."""
         return now_s < self.cold_until_s
@@ -163,8 +180,10 @@
         clock: Clock,
         zone: str = "",
         zone_regions: Mapping[str, str] | None = None,
+        answer_memory: AnswerMemory | None = None,
     ) -> None:
         self._clock = clock
+        self._answer_memory = answer_memory or AnswerMemory()
         self._own_zone = zone
         self._own_region = (zone_regions or {}).get(zone, "")
         self._zone_regions = zone_regions or {}
@@ -345,7 +364,8 @@
             if policy
             else CONNECTIONS_DEFAULT
         )
-        return Server(entry, ConnectionPool(entry.address, self._clock, connections_max))
+        pool = ConnectionPool(entry.address, self._clock, connections_max, self._answer_memory)
+        return Server(entry, pool)
 
     def _remove(self, server: Server) -> None:
         server.is_replaced = True
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -10,6 +10,7 @@
 import attrs
 
 from berylchute import __version__
+from berylchute.answerlimits import AnswerMemory
 from berylchute.assignments import ColdSenderSelector, should_watch_store
 from berylchute.backends import Backends
 from berylchute.background import BackgroundTasks
@@ -101,6 +102,7 @@
             self._clock,
             settings.node.host.availability_zone,
             settings.zone_regions,
+            AnswerMemory(settings.node.host.memory_mb),
         )
         self._directory = Directory()
         self._cold_sender_selector = ColdSenderSelector(host)
--- a/berylchute/exchange.py
+++ b/berylchute/exchange.py
@@ -8,8 +8,16 @@
 import attrs
 import httpcore
 
+from berylchute.answerlimits import AnswerLimits, AnswerMeter, parse_content_length
 from berylchute.exceptions import ExchangeError
-from berylchute.serverstreams import Attempt, AttemptClock, StreamBackend, current_attempt
+from berylchute.responses import read_response
+from berylchute.serverstreams import (
+    Attempt,
+    AttemptClock,
+    StreamBackend,
+    current_attempt,
+    current_meter,
+)
 from berylchute.types import AttemptState
 
 __all__ = [
@@ -32,6 +40,9 @@
 Headers: TypeAlias = Sequence[tuple[bytes, bytes]]
 
 ANSWER_BUFFER_BYTES = 65536
+# Bodies are streamed to the caller, so that their length needs no limit. The overhead includes
+# bytes of the body that were read and not parsed yet.
+STREAM_LIMITS = AnswerLimits(overhead_bytes_max=262_144, body_bytes_max=10**15)
 REQUEST_ID_HEADER = b"berylchute-request-id"
 NOT_RUN_HEADER = b"berylchute-not-run"
 # Below 5 s, a common idle timeout of servers: a non-idempotent request that is sent while the
@@ -102,7 +113,9 @@
             if name == REQUEST_ID_HEADER:
                 echoes += 1 if value == self._attempt_id else 2
             elif name == b"content-length":
-                self.length = int(value)
+                self.length = parse_content_length(value)
+                if self.length is None:
+                    raise self._fail(AnswerForeign("the answer has a malformed Content-Length"))
             elif name == b"transfer-encoding":
                 is_chunked = True
             elif name == NOT_RUN_HEADER:
@@ -245,6 +258,8 @@
         attempt.clock = self._clock
         attempt.started_s = self._clock.now_s()
         current_attempt.set(attempt)
+        meter = AnswerMeter(STREAM_LIMITS)
+        current_meter.set(meter)
         matcher = AnswerMatcher(attempt.attempt_id.encode(), method)
         request = httpcore.Request(
             method,
@@ -259,7 +274,7 @@
             attempt.head_received_s = self._clock.now_s()
             try:
                 matcher.receive_head(response.status, response.headers)
-                return await self._read_answer(response, matcher, attempt)
+                return await self._read_answer(response, matcher, attempt, meter)
             except BaseException:
                 with anyio.CancelScope(shield=True):
                     await response.aclose()
@@ -283,18 +298,22 @@
         return error
 
     async def _read_answer(
-        self, response: httpcore.Response, matcher: AnswerMatcher, attempt: Attempt
+        self,
+        response: httpcore.Response,
+        matcher: AnswerMatcher,
+        attempt: Attempt,
+        meter: AnswerMeter,
     ) -> MatchedAnswer:
-        chunks: list[bytes] = []
-        body_stream = _iterate_body(response, matcher, attempt, self._clock)
+        body = bytearray()
+        body_stream = _iterate_body(response, matcher, attempt, meter, self._clock)
         async for chunk in body_stream:
-            chunks.append(chunk)
+            body += chunk
             if matcher.received > ANSWER_BUFFER_BYTES:
                 attempt.state = AttemptState.ANSWERED
                 return MatchedAnswer(
                     response.status,
                     response.headers,
-                    b"".join(chunks),
+                    bytes(body),
                     matcher.not_run,
                     body_stream,
                     matcher.length,
@@ -304,7 +323,7 @@
         return MatchedAnswer(
             response.status,
             response.headers,
-            b"".join(chunks),
+            bytes(body),
             matcher.not_run,
             None,
             matcher.received,
@@ -315,7 +334,8 @@
         """Cancel an attempt on its server; return whether the server confirmed that it stopped."""
         with anyio.move_on_after(CANCEL_TIMEOUT_S):
             try:
-                response = await self._get_pool(target).request(
+                response = await read_response(
+                    self._get_pool(target),
                     b"DELETE",
                     httpcore.URL(
                         scheme=target.scheme,
@@ -328,8 +348,9 @@
                         (REQUEST_ID_HEADER, attempt_id.encode()),
                         (b"content-length", b"0"),
                     ],
+                    timeout_s=CANCEL_TIMEOUT_S,
                 )
-            except _NETWORK_ERRORS:
+            except (*_NETWORK_ERRORS, TimeoutError):
                 return False
             return response.status == 204
         return False
@@ -343,12 +364,17 @@
 
 
 async def _iterate_body(
-    response: httpcore.Response, matcher: AnswerMatcher, attempt: Attempt, clock: AttemptClock
+    response: httpcore.Response,
+    matcher: AnswerMatcher,
+    attempt: Attempt,
+    meter: AnswerMeter,
+    clock: AttemptClock,
 ) -> AsyncGenerator[bytes, None]:
     """Yield the body and check its length; closing the iterator early closes the connection."""
     stream: Any = response.stream
     try:
         async for chunk in stream:
+            meter.body_bytes += len(chunk)
             matcher.receive_body(len(chunk))
             yield chunk
         matcher.receive_end()
--- a/berylchute/health.py
+++ b/berylchute/health.py
@@ -7,8 +7,11 @@
 import httpcore
 import msgspec
 
+from berylchute.answerlimits import AnswerLimits
 from berylchute.balance import LoadReport
 from berylchute.config import BackendServer
+from berylchute.responses import read_response
+from berylchute.serverstreams import StreamBackend
 from berylchute.types import Clock
 
 __all__ = ["HealthPoller", "select_draining_servers"]
@@ -17,6 +20,8 @@
 POLL_PERIOD_S = 1.5
 POLL_TIMEOUT_S = 1.0
 CONCURRENT_POLLS_MAX = 8
+# A report is one line of JSON.
+HEALTH_LIMITS = AnswerLimits(body_bytes_max=65_536)
 
 logger = logging.getLogger(__name__)
 
@@ -59,7 +64,9 @@
         self._servers: dict[str, BackendServer] = {}
         self._reported_draining: dict[str, bool] = {}
         self._pool = httpcore.AsyncConnectionPool(
-            max_connections=CONCURRENT_POLLS_MAX * 4, keepalive_expiry=POLL_PERIOD_S * 4
+            max_connections=CONCURRENT_POLLS_MAX * 4,
+            keepalive_expiry=POLL_PERIOD_S * 4,
+            network_backend=StreamBackend(),
         )
 
     def configure(self, servers: Mapping[str, BackendServer]) -> None:
@@ -82,11 +89,14 @@
                     await anyio.sleep(POLL_PERIOD_S)
 
     async def _poll(self, server: BackendServer, limiter: anyio.CapacityLimiter) -> None:
-        timeouts = dict.fromkeys(("connect", "read", "write", "pool"), POLL_TIMEOUT_S)
         try:
             async with limiter:
-                response = await self._pool.request(
-                    "GET", f"http://{server.address}/health", extensions={"timeout": timeouts}
+                response = await read_response(
+                    self._pool,
+                    "GET",
+                    f"http://{server.address}/health",
+                    timeout_s=POLL_TIMEOUT_S,
+                    limits=HEALTH_LIMITS,
                 )
             report = msgspec.json.decode(response.content, type=LoadReport)
         except (OSError, httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError):
--- a/berylchute/hostclient.py
+++ b/berylchute/hostclient.py
@@ -10,6 +10,8 @@
 import msgspec
 
 from berylchute.exceptions import CommandError
+from berylchute.responses import read_response
+from berylchute.serverstreams import StreamBackend
 from berylchute.types import StoredObject
 
 __all__ = ["HostAnswer", "HostClient", "HostUnreachable"]
@@ -40,7 +42,7 @@
     ) -> None:
         """Use base URLs such as `http://127.0.0.1:8080` and the operator's bearer token.
 
-        `timeout_s` applies to connecting, to each read and to each write. `ca_file` is a PEM
+        `timeout_s` applies to each whole request. `ca_file` is a PEM
         file of additional certificate authorities.
         """
         context = ssl.create_default_context()
@@ -48,10 +50,10 @@
             context.load_verify_locations(cadata=Path(ca_file).read_text(encoding="ascii"))
         self._urls = tuple(urls)
         self._headers = [("Authorization", f"Bearer {token}")]
-        self._extensions = {
-            "timeout": dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
-        }
-        self._pool = httpcore.AsyncConnectionPool(ssl_context=context)
+        self._timeout_s = timeout_s
+        self._pool = httpcore.AsyncConnectionPool(
+            ssl_context=context, network_backend=StreamBackend()
+        )
 
     @property
     def urls(self) -> tuple[str, ...]:
@@ -105,12 +107,13 @@
         self, method: str, url: str, path: str, headers: list[tuple[str, str]], body: bytes
     ) -> HostAnswer:
         try:
-            response = await self._pool.request(
+            response = await read_response(
+                self._pool,
                 method,
                 url.rstrip("/") + path,
                 headers=[*self._headers, *headers],
                 content=body,
-                extensions=self._extensions,
+                timeout_s=self._timeout_s,
             )
         except (OSError, httpcore.NetworkError, httpcore.TimeoutException) as error:
             raise HostUnreachable(f"{url}: {type(error).__name__} {error}".strip()) from error
--- a/berylchute/requesthandler.py
+++ b/berylchute/requesthandler.py
@@ -155,6 +155,7 @@
             self._end_unanswered(active)
             return True
         attempt = _new_attempt(active, server, selection, now_s)
+        retry_cause = active.retry_cause
         server.in_flight += 1
         self._metrics.sends.inc()
         if self._backends.should_open_spare(server, self._member_count):
@@ -170,11 +171,17 @@
         except ExchangeError as error:
             attempt.result = error.code
             return self._handle_lost_answer(active, server, error)
+        except anyio.get_cancelled_exc_class():
+            if not active.pending.has_caller_left:
+                self._record_timeout(server, now_s)
+            raise
         finally:
             server.in_flight -= 1
             seconds = self._clock.now_s() - now_s
             attempt.server_ms = round_ms(seconds)
             self._metrics.record_attempt(active.service, attempt.result, seconds)
+            if retry_cause and attempt.result != NotSent.code:
+                self._metrics.retries.labels(retry_cause).inc()
         active.send_count += 1
         return self._handle_answer(active, server, answer, seconds)
 
@@ -197,7 +204,7 @@
         active.may_have_run = True
         self._record_failure(server, error)
         if active.route.kind.is_idempotent and active.send_count < active.route.attempts_max:
-            self._metrics.retries.labels(error.code).inc()
+            active.retry_cause = error.code
             return False
         self._end_unanswered(active)
         return True
@@ -212,17 +219,18 @@
             server.record_load(reported, now_s)
             if answer.status < 300:
                 server.record_work_time(seconds, now_s)
-        if server.failures:
-            server.record_success()
+        if server.may_have_restarted:
             self._backends.record_recovery(server, now_s)
+        if server.failures:
             self._log.event("server_back", server=server.entry.server_id)
+        server.record_success(now_s)
         if answer.status == 421:
             server.is_replaced = True
             self._log.event("server_replaced", server=server.entry.server_id)
         if answer.status == 421 or answer.find_header(self._header_names.not_run) is not None:
             active.reason = f"server_refused_{answer.status}"
             if active.send_count < active.route.attempts_max:
-                self._metrics.retries.labels("server_refused").inc()
+                active.retry_cause = "server_refused"
                 return False
             self._end_unanswered(active)
             return True
@@ -231,7 +239,7 @@
             active.reason = f"server_failed_{answer.status}"
             active.may_have_run = True
             active.failed_answer = answer
-            self._metrics.retries.labels("server_failed").inc()
+            active.retry_cause = "server_failed"
             return False
         self._forward_answer(active, outcome, answer)
         return True
@@ -334,12 +342,22 @@
 
     def _record_failure(self, server: Server, error: ExchangeError) -> None:
         server.record_failure(self._clock.now_s())
+        self._log_failure(server, error.code, str(error))
+
+    def _record_timeout(self, server: Server, sent_s: float) -> None:
+        """Record that a request reached its deadline at a server."""
+        failures = server.failures
+        server.record_timeout(sent_s, self._clock.now_s())
+        if server.failures > failures:
+            self._log_failure(server, Outcome.TIMED_OUT, "no answer to any request meanwhile")
+
+    def _log_failure(self, server: Server, code: str, reason: str) -> None:
         self._log.event(
             "server_failed",
             server=server.entry.server_id,
             address=server.entry.address,
-            code=error.code,
-            reason=str(error),
+            code=code,
+            reason=reason,
             failures=server.failures,
         )
 
--- a/berylchute/serverstreams.py
+++ b/berylchute/serverstreams.py
@@ -13,9 +13,10 @@
 from anyio.abc import ByteStream, SocketAttribute
 from anyio.streams.tls import TLSAttribute, TLSStream
 
+from berylchute.answerlimits import AnswerMeter
 from berylchute.types import AttemptState
 
-__all__ = ["Attempt", "AttemptClock", "StreamBackend", "current_attempt"]
+__all__ = ["Attempt", "AttemptClock", "StreamBackend", "current_attempt", "current_meter"]
 
 try:
     import sniffio  # type: ignore[import-not-found] # noqa: F401
@@ -61,6 +62,9 @@
 
 
 current_attempt: ContextVar[Attempt | None] = ContextVar("current_attempt", default=None)
+# Counts the bytes of the answer that the current task reads. The reader of the body adds its bytes
+# to `body_bytes`, so that what remains is overhead.
+current_meter: ContextVar[AnswerMeter | None] = ContextVar("current_meter", default=None)
 
 _STREAM_ERRORS = (anyio.BrokenResourceError, anyio.ClosedResourceError)
 
@@ -68,6 +72,9 @@
 class _Stream(httpcore.AsyncNetworkStream):
     """Adapt an anyio stream to httpcore; timeouts are left to the cancel scopes of its users.
 
+    Reading fails above the limits of `current_meter`: httpcore bounds single headers, but not
+    interim answers and chunk extensions.
+
     httpcore's own adapter is slower: it opens a cancel scope and an exception map around each
     call and reads all socket attributes to poll for a disconnect.
     """
@@ -78,11 +85,18 @@
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         try:
-            return await self._stream.receive(max_bytes)
+            data = await self._stream.receive(max_bytes)
         except anyio.EndOfStream:
             return b""
         except _STREAM_ERRORS as error:
             raise httpcore.ReadError(str(error)) from error
+        meter = current_meter.get()
+        if meter is not None:
+            meter.receive(len(data))
+            excess = meter.find_excess()
+            if excess:
+                raise httpcore.RemoteProtocolError(excess)
+        return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         if not buffer:
@@ -151,6 +165,9 @@
         socket_options: Iterable[Any] | None = None,
     ) -> httpcore.AsyncNetworkStream:
         try:
-            return _Stream(await self._connect(host, port))
+            with anyio.fail_after(timeout):
+                return _Stream(await self._connect(host, port))
+        except TimeoutError as error:
+            raise httpcore.ConnectTimeout(f"no connection within {timeout} s") from error
         except (OSError, *_STREAM_ERRORS) as error:
             raise httpcore.ConnectError(str(error)) from error
--- a/berylchute/settings.py
+++ b/berylchute/settings.py
@@ -8,6 +8,7 @@
 import attrs
 import msgspec
 
+from berylchute.answerlimits import MEMORY_DEFAULT_MB
 from berylchute.exceptions import SettingsError
 
 __all__ = ["ClientSettings", "Settings", "load_client_settings", "load_settings"]
@@ -23,7 +24,7 @@
 class HostSettings:
     """Identity of this host; `position` is empty for a locator.
 
-    `cpu_cores` and `link_mbit_per_s` bound what one process may use.
+    `cpu_cores`, `link_mbit_per_s` and `memory_mb` bound what one process may use.
     """
 
     host_id: str
@@ -32,6 +33,7 @@
     position: str = ""
     cpu_cores: float = 1.0
     link_mbit_per_s: float = 1000.0
+    memory_mb: float = MEMORY_DEFAULT_MB
 
 
 @attrs.frozen
@@ -173,6 +175,9 @@
     if bool(settings.tls.certificate_file) != bool(settings.tls.key_file):
         raise SettingsError("tls.key_file: certificate_file and key_file must be set together")
     for key, value in (
+        ("host.cpu_cores", settings.host.cpu_cores),
+        ("host.link_mbit_per_s", settings.host.link_mbit_per_s),
+        ("host.memory_mb", settings.host.memory_mb),
         ("store.timeout_ms", settings.store.timeout_ms),
         ("store.watch_wait_ms", settings.store.watch_wait_ms),
         ("store.calls_per_s", settings.store.calls_per_s),
--- a/berylchute/store.py
+++ b/berylchute/store.py
@@ -17,6 +17,8 @@
     StoreOutcomeUnknown,
     StoreUnavailable,
 )
+from berylchute.responses import read_response
+from berylchute.serverstreams import StreamBackend
 from berylchute.settings import StoreSettings
 from berylchute.types import Clock, StoredObject, WatchEvent
 
@@ -90,7 +92,9 @@
         self._clock = clock
         self._rng = rng
         self._budget = CallBudget(settings.calls_per_s, clock.now_s())
-        self._pool = pool or httpcore.AsyncConnectionPool(max_connections=8, keepalive_expiry=5.0)
+        self._pool = pool or httpcore.AsyncConnectionPool(
+            max_connections=8, keepalive_expiry=5.0, network_backend=StreamBackend()
+        )
         self.calls = 0
         self.failures = 0
 
@@ -194,21 +198,19 @@
             raise StoreUnavailable(f"{method} {path}: call budget of this host is exhausted")
         await anyio.sleep(wait_s)
         self.calls += 1
-        timeouts = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
-        # Less than `timeout_s`, the timeout of the whole call.
-        timeouts["connect"] = timeouts["pool"] = self._timeout_s / 2
         all_headers = [*headers, (b"Accept", b"application/json")]
         if self._token:
             all_headers.append((b"Authorization", b"Bearer " + self._token.encode()))
         try:
-            with anyio.fail_after(timeout_s):
-                response = await self._pool.request(
-                    method,
-                    self._url + path,
-                    headers=all_headers,
-                    content=body or None,
-                    extensions={"timeout": timeouts},
-                )
+            response = await read_response(
+                self._pool,
+                method,
+                self._url + path,
+                headers=all_headers,
+                content=body or None,
+                timeout_s=timeout_s,
+                connect_timeout_s=self._timeout_s / 2,
+            )
         except _NOT_SENT as error:
             self.failures += 1
             raise StoreUnavailable(f"{method} {path}: {error!r}") from error
--- a/berylchute/upstream.py
+++ b/berylchute/upstream.py
@@ -10,6 +10,7 @@
 import attrs
 import httptools
 
+from berylchute.answerlimits import AnswerMemory, AnswerMeter
 from berylchute.callers import Header
 from berylchute.exceptions import AnswerInvalid, AnswerLost, NotSent
 from berylchute.types import Clock
@@ -29,9 +30,9 @@
 IDLE_MARGIN_S = 1.0
 # Delay before the next attempt after a spare connection could not be opened.
 SPARE_RETRY_DELAY_S = 3.0
-# Answers are buffered whole; this is a quarter of the memory of a small machine.
-ANSWER_BYTES_MAX = 64_000_000
-ANSWER_HEADER_BYTES_MAX = 65_536
+# Answers are parsed in parts of this size, each followed by a check of the limits. Bounds what the
+# parser allocates for a head that exceeds them.
+PARSED_BYTES_MAX = 16_384
 
 
 @attrs.frozen
@@ -64,8 +65,15 @@
 class _Connection(asyncio.Protocol):
     """One connection; it carries one exchange at a time."""
 
-    def __init__(self, clock: Clock, on_close: Callable[["_Connection"], None]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        on_close: Callable[["_Connection"], None],
+        answer_memory: AnswerMemory,
+    ) -> None:
         self._clock = clock
+        self._answer_memory = answer_memory
+        self._meter = AnswerMeter(answer_memory.limits)
         self._on_close = on_close
         self._transport: asyncio.Transport | None = None
         self._request: UpstreamRequest | None = None
@@ -79,8 +87,9 @@
 
     def _reset(self) -> None:
         self._headers: list[Header] = []
-        self._body: list[bytes] = []
-        self._received_bytes = 0
+        self._meter.headers = 0
+        self._body = bytearray()
+        self._answer_memory.release(self)
         self._ends_with_connection = False
 
     async def exchange(self, request: UpstreamRequest) -> ServerAnswer:
@@ -92,6 +101,7 @@
         if transport is None or transport.is_closing() or not self.is_usable:
             raise NotSent("connection was closed before the request was sent")
         self._request = request
+        self._meter = AnswerMeter(self._answer_memory.limits)
         self._answer = asyncio.get_running_loop().create_future()
         transport.write(request.data)
         if transport.is_closing():
@@ -106,6 +116,8 @@
         finally:
             self._request = None
             self._answer = None
+            self._body = bytearray()
+            self._answer_memory.release(self)
         if transport.get_write_buffer_size() > 0:
             # The answer arrived before the request body was sent; the server could take the rest of
             # the body for the next request.
@@ -156,11 +168,27 @@
         if self._answer is None or self._answer.done():
             self.abort()
             return
-        self._received_bytes += len(data)
+        for start in range(0, len(data), PARSED_BYTES_MAX):
+            if self._is_finished():
+                # Bytes after the answer, or after it was found to be invalid.
+                self.is_usable = False
+                return
+            self._parse(data[start : start + PARSED_BYTES_MAX])
+
+    def _parse(self, data: bytes) -> None:
+        self._meter.receive(len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(AnswerInvalid(f"answer cannot be parsed: {error}"))
+            return
+        excess = self._meter.find_excess()
+        if excess and not self._is_finished():
+            self._fail(AnswerInvalid(excess))
+
+    def drop_answer(self, error: AnswerInvalid) -> None:
+        """Fail the exchange and close the connection; implements AnswerHolder."""
+        self._fail(error)
 
     # httptools callbacks
 
@@ -171,8 +199,10 @@
         self._reset()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        self._headers.append((name, value))
+        """Store a header or a trailer; those above the limit are only counted."""
+        self._meter.headers += 1
+        if self._meter.headers <= self._answer_memory.limits.headers_max:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Determine from the headers where the answer ends."""
@@ -180,6 +210,12 @@
             return
         names = {name.lower(): value for name, value in self._headers}
         status = self._parser.get_status_code()
+        has_body = status not in (204, 304) and not (self._request and self._request.is_head)
+        length = names.get(b"content-length", b"") if has_body else b""
+        excess = self._meter.find_excess_length(length)
+        if excess:
+            self._fail(AnswerInvalid(excess))
+            return
         has_length = b"content-length" in names or b"transfer-encoding" in names
         self._ends_with_connection = not has_length and status not in (204, 304) and status >= 200
         keep_alive = names.get(b"keep-alive", b"")
@@ -192,12 +228,12 @@
             self._complete()
 
     def on_body(self, body: bytes) -> None:
-        """Store a part of the body; fail the exchange above the size limit."""
+        """Store a part of the body."""
         if self._is_finished():
             return
-        self._body.append(body)
-        if self._received_bytes > ANSWER_BYTES_MAX:
-            self._fail(AnswerInvalid("answer is longer than the buffer limit"))
+        self._meter.body_bytes += len(body)
+        self._body += body
+        self._answer_memory.hold(self, len(body))
 
     def on_message_complete(self) -> None:
         """Complete the exchange; interim answers (1xx) are skipped."""
@@ -211,7 +247,7 @@
         request, future = self._request, self._answer
         assert request is not None and future is not None
         answer = ServerAnswer(
-            self._parser.get_status_code(), tuple(self._headers), b"".join(self._body)
+            self._parser.get_status_code(), tuple(self._headers), bytes(self._body)
         )
         if request.request_id:
             answer_id = answer.find_header(request.id_header)
@@ -229,6 +265,8 @@
 
     def _fail(self, error: Exception) -> None:
         self.is_usable = False
+        self._body = bytearray()
+        self._answer_memory.release(self)
         if self._answer is not None and not self._answer.done():
             self._answer.set_exception(error)
         if self._transport is not None:
@@ -246,11 +284,19 @@
 class ConnectionPool:
     """Pool keep-alive connections to one `ip:port` address."""
 
-    def __init__(self, address: str, clock: Clock, connections_max: int) -> None:
+    def __init__(
+        self,
+        address: str,
+        clock: Clock,
+        connections_max: int,
+        answer_memory: AnswerMemory | None = None,
+    ) -> None:
+        """Create a pool without connections; pools may share an `answer_memory`."""
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._clock = clock
         self._connections_max = connections_max
+        self._answer_memory = answer_memory or AnswerMemory()
         self._idle: list[_Connection] = []
         self._open: set[_Connection] = set()
         self._connecting = 0
@@ -329,7 +375,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: _Connection(self._clock, self._remove), self._host, self._port
+                    lambda: _Connection(self._clock, self._remove, self._answer_memory),
+                    self._host,
+                    self._port,
                 )
         except (OSError, TimeoutError) as error:
             raise NotSent(f"cannot connect to {self._host}:{self._port}: {error!r}") from error
--- a/soak/standins.py
+++ b/soak/standins.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import time
-from collections.abc import Iterable, Mapping
+from collections.abc import Coroutine, Iterable, Mapping
 from random import Random
 from typing import Any
 
@@ -131,7 +131,8 @@
 
     For an `abort_ratio` of the requests it aborts the connection instead of responding. A
     `malformed_ratio` of them get a truncated response, and as many get a second response after a
-    valid one. `proxy_port` is the port of the proxy in front of the server.
+    valid one. An `endless_ratio` of them get bytes that never end, in a head or in a body.
+    `proxy_port` is the port of the proxy in front of the server.
     """
 
     name: str
@@ -145,6 +146,7 @@
     in_flight: int = 0
     abort_ratio: float = 0.0
     malformed_ratio: float = 0.0
+    endless_ratio: float = 0.0
     is_slow: bool = False
     is_draining: bool = False
     is_down: bool = False
@@ -180,15 +182,31 @@
         await store.put(wire.SERVERS_COLLECTION, self.name, spec, status)
 
     def _handle(self, pending: PendingRequest) -> None:
-        task = asyncio.create_task(self._serve(pending))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task = self._start_task(self._serve(pending))
 
         def cancel() -> None:
             task.cancel()
 
         pending.cancel = cancel
 
+    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _write_without_end(self, pending: PendingRequest, headers: Iterable[Header]) -> None:
+        """Write header lines or a body without a length until the client closes."""
+        transport = pending.connection.transport
+        head = _encode_head(headers)
+        is_head = self.rng.random() < 0.5
+        transport.write(head if is_head else head + b"\r\n")
+        part = b"X-More: x\r\n" * 3000 if is_head else b"x" * 30_000
+        while not transport.is_closing():
+            if transport.get_write_buffer_size() < len(part):
+                transport.write(part)
+            await asyncio.sleep(0.002)
+
     async def _serve(self, pending: PendingRequest) -> None:
         request = pending.request
         request_id, in_flight = request.request_id, self.in_flight
@@ -224,6 +242,8 @@
             # A truncated response: Content-Length is larger than the body.
             pending.connection.transport.write(_encode_response(headers, body, len(body) + 9))
             pending.connection.transport.abort()
+        elif draw < self.abort_ratio + self.malformed_ratio + self.endless_ratio:
+            self._start_task(self._write_without_end(pending, headers))
         else:
             pending.respond(CallerAnswer(200, headers, body))
             if draw > 1.0 - self.malformed_ratio:
@@ -235,7 +255,9 @@
                 asyncio.get_running_loop().call_later(delay_s, transport.write, extra_response)
 
 
+def _encode_head(headers: Iterable[Header]) -> bytes:
+    return b"".join([b"HTTP/1.1 200 OK\r\n", *(b"%s: %s\r\n" % header for header in headers)])
+
+
 def _encode_response(headers: Iterable[Header], body: bytes, declared_bytes: int) -> bytes:
-    lines = [b"HTTP/1.1 200 OK", *(b"%s: %s" % header for header in headers)]
-    lines.append(b"Content-Length: %d" % declared_bytes)
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    return _encode_head(headers) + b"Content-Length: %d\r\n\r\n" % declared_bytes + body
--- a/soak/world.py
+++ b/soak/world.py
@@ -296,10 +296,10 @@
             return
         duration_s = self._rng.uniform(0.5, 3.0)
         self._record_fault(server.name, "spoil", duration_s)
-        server.abort_ratio, server.malformed_ratio = 0.2, 0.2
+        server.abort_ratio, server.malformed_ratio, server.endless_ratio = 0.2, 0.2, 0.1
         server.is_slow = self._rng.random() < 0.5
         await asyncio.sleep(duration_s)
-        server.abort_ratio = server.malformed_ratio = 0.0
+        server.abort_ratio = server.malformed_ratio = server.endless_ratio = 0.0
         server.is_slow = False
 
     async def _change_routes(self) -> None:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -3,6 +3,7 @@
 import pytest
 
 from berylchute.backends import (
+    FAILURE_BACKOFF_MAX_S,
     FAILURE_BACKOFF_S,
     PACE_AGE_MAX_S,
     REPORTED_LOAD_DECAY_S,
@@ -84,7 +85,7 @@
     assert server.backoff_until_s == clock.now + FAILURE_BACKOFF_S
     server.record_failure(clock.now)
     assert server.backoff_until_s == clock.now + 2 * FAILURE_BACKOFF_S
-    server.record_success()
+    server.record_success(clock.now)
     assert server.backoff_until_s == 0.0
 
 
@@ -232,3 +233,23 @@
     assert not backends.should_open_spare(second, lambda: 390 // SPARE_CONNECTIONS_PER_MEMBER + 1)
     second.record_failure(clock.now_s())
     assert not backends.should_open_spare(second, lambda: 12)
+
+
+def test_many_failures_keep_the_longest_backoff() -> None:
+    """Guard against an overflow that ends requests to a server which fails for an hour."""
+    clock = ManualClock()
+    server = make_backends(clock, entry("i-1")).of_service("s")[0]
+    for _ in range(2000):
+        server.record_failure(clock.now)
+    assert server.backoff_until_s == clock.now + FAILURE_BACKOFF_MAX_S
+
+
+def test_timeout_counts_as_a_failure_without_other_answers() -> None:
+    """Guard against a silent server that stays in use because its requests only time out."""
+    server = make_backends(ManualClock(), entry("i-1")).of_service("s")[0]
+    server.record_success(100.0)
+    server.record_timeout(sent_s=99.0, now_s=102.0)
+    assert server.failures == 0  # long work: the server answered another request meanwhile
+    server.record_timeout(sent_s=101.0, now_s=104.0)
+    assert server.failures == 1 and server.backoff_until_s > 104.0
+    assert not server.may_have_restarted
--- a/tests/test_requesthandler.py
+++ b/tests/test_requesthandler.py
@@ -33,7 +33,8 @@
     ServicePolicy,
 )
 from berylchute.types import Clock
-from berylchute.upstream import ServerAnswer, UpstreamRequest
+from berylchute.upstream import ConnectionPool, ServerAnswer, UpstreamRequest
+from tests.endless import SLOW_HEAD, start_endless
 from tests.httpfakes import FakeTransport
 from tests.test_routeindex import route
 
@@ -88,6 +89,8 @@
         self.transport = FakeTransport()
         self.pending: PendingRequest | None = None
         self.backends: Backends | None = None
+        self.metrics = EdgeMetrics()
+        self.retry_ratio = 10.0
 
     def run(
         self,
@@ -132,7 +135,7 @@
     def _compose(
         self, clock: Clock, background_tasks: BackgroundTasks, timeout_s: float
     ) -> RequestHandler:
-        backends = self.backends = Backends(clock, 0.0)
+        backends = self.backends = Backends(clock, "za")
         table = RouteTable(
             1,
             (route("/a/", kind=self.kind, timeout_s=timeout_s),),
@@ -148,7 +151,7 @@
         )
         for server in backends.of_service("s"):
             server.pool = _Pool(self)  # type: ignore[assignment]
-        retry_bounds = RetryBounds(ratio=10.0, burst=0.0)
+        retry_bounds = RetryBounds(ratio=self.retry_ratio, burst=0.0)
         read, write = os.pipe()
         os.close(read)
         return RequestHandler(
@@ -160,7 +163,7 @@
             clock=clock,
             rng=Random(1),
             log=EventLog(write, "h"),
-            metrics=EdgeMetrics(),
+            metrics=self.metrics,
             retry_bounds=retry_bounds,
             member_count=lambda: 1,
             region_of_zone=lambda _: "ra",
@@ -325,3 +328,39 @@
     harness = _Harness(NON_IDEMPOTENT, ServerAnswer(421, (), b""), OK)
     assert _status(harness.run()) == 200
     assert sum(server.is_replaced for server in harness.all_servers) == 1
+
+
+def _count_retries(harness: _Harness) -> float:
+    samples = [sample for metric in harness.metrics.retries.collect() for sample in metric.samples]
+    return sum(sample.value for sample in samples if sample.name.endswith("_total"))
+
+
+def test_only_retries_that_are_sent_are_counted() -> None:
+    # Guard against a metric of retries that grows while the retry budget allows none.
+    harness = _Harness(IDEMPOTENT, AnswerLost("x"), NOT_RUN)
+    harness.run()
+    assert (len(harness.sent), _count_retries(harness)) == (2, 1.0)
+    spent = _Harness(IDEMPOTENT, AnswerLost("x"), OK)
+    spent.retry_ratio = 0.0
+    spent.run()
+    assert (len(spent.sent), _count_retries(spent)) == (1, 0.0)
+
+
+def test_trickling_server_fails_at_the_deadline_and_its_connection_is_closed() -> None:
+    # Guard against a server that sends a byte now and then: it must not keep the request beyond
+    # its deadline, stay in use, or make the caller believe that the request has not run.
+    async def main() -> None:
+        async with start_endless(SLOW_HEAD) as server:
+            harness = _Harness(NON_IDEMPOTENT, servers=1)
+
+            def connect(harness: _Harness) -> None:
+                pool = ConnectionPool(server.address, _LoopClock(), 4)
+                harness.all_servers[0].pool = pool
+
+            await harness._main(400.0, 5.0, connect, lambda _: None)
+            assert harness.pending is not None and _status(harness.pending.answer) == 504
+            await anyio.sleep(2 * SLOW_HEAD.pause_s)
+            assert server.open_connections == 0
+            assert harness.all_servers[0].failures == 1
+
+    anyio.run(main)
