--- a/berylchute/claims.py
+++ b/berylchute/claims.py
@@ -120,6 +120,7 @@
         self._report_settled = report_settled
         self._list_hosts = list_hosts or store.list_hosts
         self._reported_version = 0
+        self._undecodable_versions: dict[str, int] = {}
         self._next_write_s = 0.0
         self._next_platform_s = 0.0
         self._rewrite_s: float | None = None
@@ -170,14 +171,26 @@
     def _update_controller(
         self, config: StoredObject | None, claims: StoredObject | None, now_s: float
     ) -> None:
-        try:
-            if config is not None and config.version > self._controller.config_version:
+        if config is not None and config.version > self._controller.config_version:
+            try:
                 self._controller.observe_config(config.version, decode_json(config.value))
-            if claims is not None and claims.version > self._controller.claims_version:
+            except ConfigError as error:
+                self._log_undecodable(config, error)
+        if claims is not None and claims.version > self._controller.claims_version:
+            try:
                 self._controller.observe_claims(claims.version, decode_claims(claims.value), now_s)
-        except ConfigError as error:
+            except ConfigError as error:
+                self._log_undecodable(claims, error)
+
+    def _log_undecodable(self, stored: StoredObject, error: ConfigError) -> None:
+        """Log an object that cannot be decoded, once for each version."""
+        if self._undecodable_versions.get(stored.key) != stored.version:
+            self._undecodable_versions[stored.key] = stored.version
             _LOG.error(
-                "cannot decode the config or claims object, keeping the former one: %s", error
+                "cannot decode %s version %d, keeping the former one: %s",
+                stored.key,
+                stored.version,
+                error,
             )
 
     def _needs_platform_read(self, now_s: float) -> bool:
--- a/berylchute/commands.py
+++ b/berylchute/commands.py
@@ -21,6 +21,7 @@
 from berylchute.exceptions import BerylchuteError, CommandError, ConfigError, SettingsError
 from berylchute.hostclient import HostClient, HostUnreachable
 from berylchute.node import MonotonicClock
+from berylchute.objects import STORE_VALUE_BYTES_MAX
 from berylchute.operations import (
     ConflictError,
     EditOutcomeUnknown,
@@ -97,17 +98,21 @@
         rows = [{**attrs.asdict(change), "free_after": change.free_after} for change in changes]
         self.renderer.write_rows("headroom by region and service", rows)
 
+    def show_host_impact(self, document: Configuration, host_position: str) -> None:
+        """Write the entry hosts of each zone before and after a drain of one of them."""
+        self.renderer.write_rows(
+            "entry hosts by availability zone", impact.host_changes(document, host_position)
+        )
+
     async def wait_in_force(self, version: int) -> bool:
-        """Wait until all live and leaving members have a version in force, writing progress.
+        """Wait until all live members have a version in force, writing progress.
 
         Returns False after WAIT_TIMEOUT_S.
         """
         with anyio.move_on_after(WAIT_TIMEOUT_S):
             last_shown = -1
             while True:
-                members = [
-                    m for m in await self.fetch_members() if m["state"] in ("live", "leaving")
-                ]
+                members = [m for m in await self.fetch_members() if m["state"] == "live"]
                 hosts_in_force = sum(member["config_version"] >= version for member in members)
                 if hosts_in_force != last_shown:
                     self.renderer.write_progress(
@@ -149,7 +154,7 @@
     """
     try:
         size_bytes = file.stat().st_size
-        if size_bytes > validation.STORE_VALUE_BYTES_MAX * 4:
+        if size_bytes > STORE_VALUE_BYTES_MAX * 4:
             raise ConfigError(
                 f"{file}: {size_bytes} bytes is too large; the store accepts up to 1 MB"
             )
--- a/berylchute/drainctl.py
+++ b/berylchute/drainctl.py
@@ -42,6 +42,9 @@
         document, _ = await context.operations.get_configuration()
         _check_target(document, target, name)
         if dry_run:
+            if target is DrainTarget.HOST:
+                context.show_host_impact(document, name)
+                return EXIT_DONE
             after = impact.without_drained_servers(document, target.value, name)
             await context.show_impact(document, after)
             return EXIT_DONE
--- a/berylchute/endpoints.py
+++ b/berylchute/endpoints.py
@@ -6,16 +6,14 @@
 import msgspec
 
 from berylchute.identity import OperatorDirectory
+from berylchute.locator import LOCATE_PATH
 from berylchute.metrics import CONTENT_TYPE_LATEST, Metrics
+from berylchute.objects import STORE_VALUE_BYTES_MAX
 from berylchute.refusals import RefusedError
 from berylchute.requesthead import AsgiApp, Receive, Scope, Send, receive_body
 
 __all__ = ["ApplyObject", "Endpoints", "send_json"]
 
-OBJECT_BYTES_MAX = 1_000_000
-
-LOCATE_PATH = "/berylchute/v1/locate"
-
 ApplyObject = Callable[[str, int, bytes], bool]
 
 
@@ -97,9 +95,9 @@
             await send_json(send, 400, {"code": "bad_request", "key": "Berylchute-Version"})
             return
         try:
-            value = await receive_body(receive, OBJECT_BYTES_MAX)
+            value = await receive_body(receive, STORE_VALUE_BYTES_MAX)
         except RefusedError:
-            await send_json(send, 413, {"code": "body_too_large", "allowed": OBJECT_BYTES_MAX})
+            await send_json(send, 413, {"code": "body_too_large", "allowed": STORE_VALUE_BYTES_MAX})
             return
         is_applied = self._apply_object(key, int(version), value)
         await send_json(send, 200, {"applied": is_applied})
--- a/berylchute/eventlog.py
+++ b/berylchute/eventlog.py
@@ -30,7 +30,6 @@
         self._buffered_lines: deque[bytes] = deque()
         self._buffered_bytes = 0
         self._unwritten = b""
-        self._unwritten_lines = 0
         self._encode = msgspec.json.Encoder(enc_hook=str).encode
         self._current_second = 0
         self._current_second_lines = 0
@@ -76,15 +75,14 @@
                     chunk_bytes += len(chunk[-1])
                 self._buffered_bytes -= chunk_bytes
                 self._unwritten = b"".join(chunk)
-                self._unwritten_lines = len(chunk)
             try:
                 written_bytes = os.write(self._fd, self._unwritten)
             except BlockingIOError:
                 return
             except OSError:
                 # Counted for metrics, and reported in the log once writes succeed again.
-                self.lines_dropped_unwritable += self._unwritten_lines
-                self._unwritten, self._unwritten_lines = b"", 0
+                self.lines_dropped_unwritable += self._unwritten.count(b"\n")
+                self._unwritten = b""
                 return
             self._unwritten = self._unwritten[written_bytes:]
 
--- a/berylchute/forwarding.py
+++ b/berylchute/forwarding.py
@@ -225,7 +225,9 @@
             elif race.is_closed:
                 self._metrics.hedges.labels("lost").inc()
                 await self.finish_answer(answer, is_complete=False)
-            elif not answer.is_not_run:
+            elif answer.is_not_run:
+                self._metrics.hedges.labels("shed").inc()
+            else:
                 race.answer = answer
                 race.primary_scope.cancel()
             race.hedge_done.set()
--- a/berylchute/impact.py
+++ b/berylchute/impact.py
@@ -9,7 +9,9 @@
 
 __all__ = [
     "HeadroomChange",
+    "HostChange",
     "headroom_changes",
+    "host_changes",
     "slots_by_region_and_service",
     "without_drained_servers",
 ]
@@ -31,6 +33,32 @@
         return self.slots_after - self.in_use
 
 
+@attrs.frozen
+class HostChange:
+    """Positions of entry hosts in an availability zone before and after a host drain."""
+
+    region: str
+    availability_zone: str
+    hosts_before: int
+    hosts_after: int
+
+
+def host_changes(document: Configuration, host_position: str) -> list[HostChange]:
+    """Return one row per availability zone that loses an entry host to a drain."""
+    region_of = {zone.name: zone.region for zone in document.availability_zones}
+    zones = Counter(position.availability_zone for position in document.host_positions)
+    return [
+        HostChange(
+            region_of[position.availability_zone],
+            position.availability_zone,
+            zones[position.availability_zone],
+            zones[position.availability_zone] - 1,
+        )
+        for position in document.host_positions
+        if position.name == host_position
+    ]
+
+
 def slots_by_region_and_service(document: Configuration) -> Counter[tuple[str, str]]:
     """Return the number of slots by (region, service)."""
     region_of = {zone.name: zone.region for zone in document.availability_zones}
--- a/berylchute/locator.py
+++ b/berylchute/locator.py
@@ -20,7 +20,15 @@
 from berylchute.exceptions import ConfigError
 from berylchute.types import MemberState, MemberStatus
 
-__all__ = ["BlockTable", "HostOffer", "HostRanking", "Locator", "LocatorAnswer", "LocatorApp"]
+__all__ = [
+    "LOCATE_PATH",
+    "BlockTable",
+    "HostOffer",
+    "HostRanking",
+    "Locator",
+    "LocatorAnswer",
+    "LocatorApp",
+]
 
 LOCATE_PATH = "/berylchute/v1/locate"
 TTL_S = 5
--- a/berylchute/membership.py
+++ b/berylchute/membership.py
@@ -281,6 +281,8 @@
 
     def _remove_member(self, host_id: str) -> None:
         self._roster.remove(host_id)
+        if host_id in self._rotation:
+            self._rotation.remove(host_id)
         self._urgent_rounds.pop(host_id, None)
         self._load_rounds.pop(host_id, None)
 
--- a/berylchute/metrics.py
+++ b/berylchute/metrics.py
@@ -88,7 +88,7 @@
         )
         self.hedges = self._counter(
             "berylchute_hedges_total",
-            "Hedged attempts by result (won, lost, failed, no_slot, no_budget).",
+            "Hedged attempts by result (won, lost, failed, shed, no_slot, no_budget).",
             ("result",),
         )
         self.cancellations = self._counter(
--- a/berylchute/objects.py
+++ b/berylchute/objects.py
@@ -86,6 +86,10 @@
             version > self.version(key) for key, version in versions.items() if key in self._keys
         )
 
+    def is_ahead(self, versions: Mapping[str, int]) -> bool:
+        """Return whether a peer with these versions lacks an object or holds an older one."""
+        return any(version > versions.get(key, 0) for key, version in self._digest.items())
+
     def pushes_for(self, keys: Iterable[str]) -> tuple[ObjectPush, ...]:
         """Return a push message for each known object among `keys`."""
         found = (self._objects.get(key) for key in dict.fromkeys(keys))
--- a/berylchute/operations.py
+++ b/berylchute/operations.py
@@ -238,7 +238,7 @@
                 await anyio.sleep(READ_BACK_DELAY_S)
                 continue
             except StoreError as error:
-                raise UnreachableError(f"write {key}: {error}") from error
+                raise _write_error(key, error, is_outcome_unknown) from error
             await self._hosts.push(stored)
             return stored
         if is_outcome_unknown:
@@ -258,13 +258,16 @@
     async def _write_config(self, edited: Configuration, expected_version: int) -> EditOutcome:
         accepted = EditOutcome(CONFIG_KEY, 0, edited.generation, edited.edit_id, EditState.ACCEPTED)
         value = config.encode_json(edited)
+        is_outcome_unknown = False
         for _ in range(WRITE_ATTEMPTS_MAX):
             try:
                 stored = await self._store.put(CONFIG_KEY, value, expected_version)
                 return attrs.evolve(accepted, version=stored.version)
             except StoreUnavailable as error:
-                raise UnreachableError(f"write {CONFIG_KEY}: {error}") from error
+                raise _write_error(CONFIG_KEY, error, is_outcome_unknown) from error
             except (StoreConflict, StoreOutcomeUnknown) as error:
+                # The store may still execute a lost write after it was read back.
+                is_outcome_unknown = is_outcome_unknown or isinstance(error, StoreOutcomeUnknown)
                 outcome = await self._read_back(edited, error)
                 if outcome is not None:
                     return outcome
@@ -325,6 +328,13 @@
             return
 
 
+def _write_error(key: str, error: StoreError, is_outcome_unknown: bool) -> CommandError:
+    """Return the error of a write without effect, after earlier ones that may have had one."""
+    if is_outcome_unknown:
+        return EditOutcomeUnknown(f"write {key}: an earlier write was lost, then: {error}")
+    return UnreachableError(f"write {key}: {error}")
+
+
 def _decode_history(value: bytes) -> tuple[HistoryEntry, ...]:
     return msgspec.json.decode(value, type=tuple[HistoryEntry, ...])
 
--- a/berylchute/placement.py
+++ b/berylchute/placement.py
@@ -393,6 +393,8 @@
         if end is AttemptEnd.ANSWERED:
             self._observer.record_answer(server, elapsed_s, now_s)
             self._queues[placement.service].record_finish(placement.kind, elapsed_s, now_s)
+        elif end is AttemptEnd.SHED:
+            self._observer.record_shed(server, now_s)
         elif end is AttemptEnd.CANCELLED:
             self._observer.record_cancel(server, elapsed_s, now_s)
         elif end is AttemptEnd.NOT_SENT:
--- a/berylchute/replication.py
+++ b/berylchute/replication.py
@@ -11,6 +11,18 @@
 
 __all__ = ["Replication"]
 
+# The same digest is sent to the same peer as a reply at most once in this time. A peer of another
+# build may lack keys that this member has, and the other way round: each would reply to the other.
+REPLY_INTERVAL_S = 0.5
+# Peers whose last reply is remembered; above this number those of the past interval are kept.
+REPLIES_MAX = 256
+
+
+@attrs.frozen
+class _Reply:
+    digest: Mapping[str, int]
+    sent_s: float
+
 
 class Replication:
     """Synchronize one process's replica and membership with its peers.
@@ -27,6 +39,7 @@
         self.membership = membership
         self.objects = objects
         self._on_change = on_change
+        self._replies: dict[str, _Reply] = {}
 
     def tick(self, now_s: float) -> list[Outgoing]:
         """Return the messages due at `now_s`."""
@@ -74,6 +87,18 @@
             pull = ObjectPull(sender_address=self.membership.record.peer_address, keys=keys)
             return [Outgoing(address, pull)]
         # Replies only to a peer that lacks objects, or two peers would exchange digests forever.
-        return (
-            [] if versions == self.objects.digest() else [Outgoing(address, self._digest_message())]
-        )
+        if not self.objects.is_ahead(versions) or not self._may_reply(address, now_s):
+            return []
+        return [Outgoing(address, self._digest_message())]
+
+    def _may_reply(self, address: str, now_s: float) -> bool:
+        """Return whether the digest may be sent to a peer as a reply, and record it."""
+        reply = _Reply(self.objects.digest(), now_s)
+        last = self._replies.get(address)
+        if last and last.digest is reply.digest and now_s - last.sent_s < REPLY_INTERVAL_S:
+            return False
+        if len(self._replies) >= REPLIES_MAX:
+            oldest_s = now_s - REPLY_INTERVAL_S
+            self._replies = {a: r for a, r in self._replies.items() if r.sent_s > oldest_s}
+        self._replies[address] = reply
+        return True
--- a/berylchute/settings.py
+++ b/berylchute/settings.py
@@ -161,6 +161,17 @@
     return ip.is_loopback
 
 
+def _check_url(key: str, url: str) -> None:
+    scheme, separator, rest = url.partition("://")
+    if scheme not in ("http", "https") or not separator or not rest.strip("/"):
+        raise SettingsError(f"{key}: {url!r}; allowed: http://HOST:PORT or https://HOST:PORT")
+
+
+def _check_positive(key: str, value: float) -> None:
+    if value <= 0:
+        raise SettingsError(f"{key}: {value} is too small; allowed: above 0")
+
+
 def _check_values(settings: Settings) -> None:
     _check_address("listen.http", settings.listen.http)
     is_peers_loopback = _check_address("listen.peers", settings.listen.peers)
@@ -185,8 +196,7 @@
         ("limits.body_bytes_max", settings.limits.body_bytes_max),
         ("limits.shutdown_timeout_ms", settings.limits.shutdown_timeout_ms),
     ):
-        if value <= 0:
-            raise SettingsError(f"{key}: {value} is too small; allowed: above 0")
+        _check_positive(key, value)
     if settings.log.level not in LOG_LEVELS:
         raise SettingsError(f"log.level: {settings.log.level!r}; allowed: {', '.join(LOG_LEVELS)}")
 
@@ -203,4 +213,14 @@
 
 def load_client_settings(path: Path) -> ClientSettings:
     """Return the settings of the command line; raise SettingsError with file, key and reason."""
-    return _load(path, ClientSettings)
+    settings = _load(path, ClientSettings)
+    try:
+        _check_url("store.url", settings.store.url)
+        for url in settings.hosts.urls:
+            _check_url("hosts.urls", url)
+        _check_positive("store.timeout_ms", settings.store.timeout_ms)
+        _check_positive("store.calls_per_s", settings.store.calls_per_s)
+        _check_positive("hosts.timeout_ms", settings.hosts.timeout_ms)
+    except SettingsError as error:
+        raise SettingsError(f"{path}: {error}") from error
+    return settings
--- a/berylchute/shiftrunner.py
+++ b/berylchute/shiftrunner.py
@@ -1,7 +1,7 @@
 """Run the shifts of which this host is the runner."""
 
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from hashlib import blake2b
 
 import anyio
@@ -56,8 +56,12 @@
     statuses: Sequence[MemberStatus],
     observer: ServerObserver,
     now_s: float,
+    report_age_s: float = 0.0,
 ) -> Observation:
-    """Return the load of both regions from the members' reports and this host's latencies."""
+    """Return the load of both regions from the members' reports and this host's latencies.
+
+    `report_age_s` is how long ago the reports may have been received.
+    """
     region_of = {zone.name: zone.region for zone in configuration.availability_zones}
     capacity_slots = dict.fromkeys((shift.from_region, shift.to_region), 0)
     latencies_s: dict[str, list[float]] = {region: [] for region in capacity_slots}
@@ -82,11 +86,11 @@
         _median(latencies_s[r]) for r in (shift.from_region, shift.to_region)
     )
     return Observation(
-        observed_s=now_s,
+        observed_s=now_s - report_age_s,
         from_slots_in_use=max(0, capacity_slots[shift.from_region] - free_slots[shift.from_region]),
         to_free_slots=free_slots[shift.to_region],
         to_capacity_slots=capacity_slots[shift.to_region],
-        link_free_ratio=_link_free_ratio(shift, configuration, statuses),
+        link_free_ratio=_link_free_ratio(shift, configuration, live_free_units),
         latency_ratio=to_latency_s / from_latency_s if from_latency_s > 0.0 else 1.0,
     )
 
@@ -96,7 +100,7 @@
 
 
 def _link_free_ratio(
-    shift: Shift, configuration: Configuration, statuses: Sequence[MemberStatus]
+    shift: Shift, configuration: Configuration, live_free_units: Sequence[Mapping[str, int]]
 ) -> float:
     """Return the lower free ratio of both directions; a direction without reports counts as 1."""
     free_ratios = [1.0]
@@ -104,7 +108,7 @@
         if {link.from_region, link.to_region} != {shift.from_region, shift.to_region}:
             continue
         key = link_resource(link.from_region, link.to_region)
-        reported_units = [s.record.free_units[key] for s in statuses if key in s.record.free_units]
+        reported_units = [units[key] for units in live_free_units if key in units]
         if reported_units:
             free_ratios.append(sum(reported_units) / max(1, link.rate_bytes_per_s // 1_000_000))
     return min(free_ratios)
@@ -132,13 +136,18 @@
         self._clock = clock
         self._apply_object = apply_object
         self._controller = ShiftController(host_id)
+        self._report_age_s = 0.0
 
     async def run(self, get_configuration: Callable[[], Configuration | None]) -> None:
         """Make the steps that are due, every POLL_S, until cancelled.
 
         `get_configuration` returns the active configuration, or None before the first.
         """
+        polled_s = self._clock.now_s()
         while True:
+            # After a pause of this process, the reports may be as old as the pause.
+            now_s = self._clock.now_s()
+            self._report_age_s, polled_s = max(0.0, now_s - polled_s - POLL_S), now_s
             configuration = get_configuration()
             if configuration is not None and self._runs_active_shift():
                 try:
@@ -179,5 +188,7 @@
         statuses, now_s = self._members.list_members(), self._clock.now_s()
         if not shift.is_active or select_runner(shift.id, statuses) != self._host_id:
             return shift
-        observation = build_observation(shift, configuration, statuses, self._observer, now_s)
+        observation = build_observation(
+            shift, configuration, statuses, self._observer, now_s, self._report_age_s
+        )
         return self._controller.decide(shift, observation, now_s) or shift
--- a/berylchute/traffic.py
+++ b/berylchute/traffic.py
@@ -28,7 +28,8 @@
 def count_free_units(configuration: Configuration, ledger: Ledger, now_s: float) -> dict[str, int]:
     """Return this host's free units: slots by service and region, and units by link.
 
-    Resources without free units are left out.
+    Servers without free slots are left out; a full link is reported, since a link without reports
+    counts as free.
     """
     region_of = {zone.name: zone.region for zone in configuration.availability_zones}
     free: dict[str, int] = {}
@@ -39,9 +40,7 @@
             free[key] = free.get(key, 0) + units
     for link in configuration.links:
         resource = link_resource(link.from_region, link.to_region)
-        units = ledger.free_units(resource, now_s + 1.0, now_s)
-        if units:
-            free[resource] = units
+        free[resource] = ledger.free_units(resource, now_s + 1.0, now_s)
     return free
 
 
--- a/berylchute/validation.py
+++ b/berylchute/validation.py
@@ -9,11 +9,10 @@
 
 from berylchute import config
 from berylchute.config import BackendServer, Configuration, HostPosition, Site
+from berylchute.objects import STORE_VALUE_BYTES_MAX
 
-__all__ = ["STORE_VALUE_BYTES_MAX", "ConfigurationProblem", "find_problems"]
+__all__ = ["ConfigurationProblem", "find_problems"]
 
-# Largest value that the platform's store accepts.
-STORE_VALUE_BYTES_MAX = 1_000_000
 # Link capacity is counted in units of 1 MB/s; a smaller number is usually meant as Mbit/s.
 LINK_RATE_BYTES_PER_S_MIN = 1_000_000
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
@@ -66,7 +65,7 @@
     plans = {plan.name for plan in document.plans}
     for index, plan in enumerate(document.plans):
         yield from _check_minimum(f"plans[{index}].priority", plan.priority, 0)
-    seen: dict[str, str] = {}
+    seen: set[str] = set()
     for index, customer in enumerate(document.customers):
         path = f"customers[{index}]"
         yield from _check_reference(f"{path}.plan", customer.plan, "plan", plans)
@@ -78,10 +77,11 @@
                     "not a SHA-256 digest",
                     "64 lower-case hex digits",
                 )
-            if seen.setdefault(digest, customer.name) != customer.name:
+            if digest in seen:
                 yield ConfigurationProblem(
-                    f"{path}.token_sha256", digest, "duplicate token", "one customer per token"
+                    f"{path}.token_sha256", digest, "duplicate token", "each token once"
                 )
+            seen.add(digest)
 
 
 def _service_slots(document: Configuration) -> Counter[tuple[str, str]]:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from soak.faults import OverlappingFaults
+
 __all__ = ["LinkFault", "Proxy"]
 
 CHUNK_BYTES = 65_536
@@ -24,12 +26,12 @@
 
 @attrs.define(eq=False)
 class Proxy:
-    """Forward connections from `port` to `target_port`; `fault` applies to open ones as well."""
+    """Forward connections from `port` to `target_port`; `faults` apply to open ones as well."""
 
     port: int
     target_port: int
-    fault: LinkFault = LinkFault.NONE
     delay_s: float = 0.15
+    faults: OverlappingFaults[LinkFault] = attrs.Factory(OverlappingFaults)
     _writers: set[asyncio.StreamWriter] = attrs.Factory(set)
     _server: asyncio.Server | None = None
 
@@ -77,10 +79,10 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_response: bool
     ) -> None:
         while data := await reader.read(CHUNK_BYTES):
-            if self.fault is LinkFault.DELAY:
+            if LinkFault.DELAY in self.faults:
                 await asyncio.sleep(self.delay_s)
-            is_dropped = self.fault is LinkFault.SILENCE or (
-                self.fault is LinkFault.CUT_ANSWERS and is_response
+            is_dropped = LinkFault.SILENCE in self.faults or (
+                LinkFault.CUT_ANSWERS in self.faults and is_response
             )
             if is_dropped:
                 # The stream now has a gap: the soak resets the connection when the fault ends.
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -5,6 +5,7 @@
 
 import anyio
 import attrs
+import pytest
 
 from berylchute.claims import ClaimIdentity, ClaimTask, decode_claims, encode_claims, plan_claim
 from berylchute.config import encode_json
@@ -163,3 +164,20 @@
 
     assert [anyio.run(write, plan) for plan in plans] == [True, False]
     assert holder(store) == Claim("a", "a2", 1, False)
+
+
+def test_bad_config_does_not_hide_newer_claims(caplog: pytest.LogCaptureFixture) -> None:
+    """Guard against claims that stay unread, and a line each 0.1 s, while a config is invalid."""
+    store = FakeStore()
+    task, node = task_of("h1", store)
+    node.apply_object(StoredObject("config", 2, b"no JSON"))
+    table = ClaimTable((Claim("a", "h9", 1, True),))
+    node.apply_object(StoredObject("claims", 3, encode_claims(table)))
+    for _ in range(5):
+        task.update_shares()
+    assert task._controller.claims_version == 3
+    assert len([record for record in caplog.records if "config" in record.message]) == 1
+    node.apply_object(StoredObject("claims", 4, b"no JSON"))
+    for _ in range(5):
+        task.update_shares()
+    assert len([record for record in caplog.records if "claims" in record.message]) == 1
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -181,3 +181,52 @@
     capsys.readouterr()
     assert run_command("shift", "list", "--output", "json") == 0
     assert json.loads(capsys.readouterr().out) == []
+
+
+def test_wait_ignores_hosts_that_are_leaving(
+    store: FakeStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against `apply --wait` that waits for a host which stops before it applies anything."""
+    members = [
+        {"record": {"config_version": 10**9}, "state": "live"},
+        {"record": {"config_version": 0}, "state": "leaving"},
+    ]
+    monkeypatch.setattr(FakeHostClient, "answers", {"/berylchute/v1/members": members})
+    monkeypatch.setattr(commands, "WAIT_TIMEOUT_S", 0.5)
+    assert run_command("apply", str(LISTS), "--wait") == 0
+
+
+def test_dry_run_of_a_host_drain_shows_the_hosts_that_remain(
+    store: FakeStore, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guard against a dry run that shows no effect although a zone loses its last entry host."""
+    run_command("apply", str(LISTS))
+    capsys.readouterr()
+    assert run_command("drain", "start", "host", "xela-a-1", "--dry-run", "--output", "json") == 0
+    (row,) = json.loads(capsys.readouterr().out)
+    assert row["availability_zone"] == "xela-a"
+    assert row["hosts_after"] == row["hosts_before"] - 1
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "key"),
+    [
+        ('url = "http://127.0.0.1:1"', 'url = "127.0.0.1:1"', "store.url"),
+        ("[hosts]", "timeout_ms = 0\n[hosts]", "store.timeout_ms"),
+        ("[hosts]", "[hosts]\ntimeout_ms = -5", "hosts.timeout_ms"),
+        ('["http://127.0.0.1:2"]', '["ftp://127.0.0.1:2"]', "hosts.urls"),
+    ],
+)
+def test_invalid_client_settings_are_named(
+    store: FakeStore,
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+    old: str,
+    new: str,
+    key: str,
+) -> None:
+    """Guard against a wrong value in the settings that appears as an unreachable store."""
+    settings = tmp_path / "ctl.toml"
+    settings.write_text(settings.read_text().replace(old, new, 1))
+    assert run_command("get") == 2
+    assert key in capsys.readouterr().err
--- a/tests/test_eventlog.py
+++ b/tests/test_eventlog.py
@@ -102,3 +102,18 @@
 
 def _fail_write(_descriptor: int, _data: bytes) -> int:
     raise OSError(5, "input/output error")
+
+
+def test_lines_written_in_part_of_a_chunk_are_not_counted_as_dropped() -> None:
+    """Guard against a count of dropped lines that includes lines which were written."""
+    read_fd, write_fd = os.pipe()
+    fcntl.fcntl(write_fd, fcntl.F_SETPIPE_SZ, 4096)
+    log = EventLog(write_fd, "h1")
+    for number in range(200):
+        log.event("e", number=number)
+    log.flush()
+    written_lines = _read_all(read_fd).count(b"\n")
+    os.close(read_fd)
+    log.flush()
+    assert written_lines > 0
+    assert log.lines_dropped_unwritable == 200 - written_lines
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -267,3 +267,19 @@
     assert found is not None
     assert found.record == newer
     assert found.state is MemberState.LEAVING
+
+
+def test_member_that_returns_is_listed_once_in_the_rotation() -> None:
+    """Guard against updates that repeat one member instead of reporting others."""
+    own = make_member_record("xela-a-1", "xela-a", "xela", 1)
+    membership = Membership(own, (), Random(1), 0.0)
+    returning = make_member_record("xela-a-2", "xela-a", "xela", 1)
+    for sequence in (1, 2, 3):
+        record = attrs.evolve(
+            returning,
+            sequence=sequence,
+            availability_zone="xela-a" if sequence % 2 else "xela-b",
+        )
+        update = MemberUpdate("xela-a-3", (record,), (0,))
+        membership.handle(update, float(sequence))
+    assert membership._rotation.count("xela-a-2") == 1
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -1,9 +1,16 @@
 """Check which objects the replica stores and which it pulls."""
 
+from random import Random
+
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from berylchute.membership import Membership
+from berylchute.messages import Message, ObjectDigest
 from berylchute.objects import OBJECT_KEYS, PULL_RETRY_S, STORE_VALUE_BYTES_MAX, ObjectReplica
+from berylchute.replication import Replication
+from lab.fleet import make_member_record
 
 DELIVERIES = st.lists(st.tuples(st.sampled_from(OBJECT_KEYS), st.integers(1, 30)), max_size=60)
 
@@ -43,3 +50,21 @@
     assert not replica.apply("config", 1, b"0" * (STORE_VALUE_BYTES_MAX + 1))
     assert replica.start_pull({"other": 1}, now_s=0.0) == ()
     assert replica.pushes_for(["config", "other"]) == ()
+
+
+def test_peers_with_different_keys_do_not_exchange_digests_forever() -> None:
+    """Guard against a loop of digests between members of two builds that hold different keys."""
+    replies = []
+    for keys in (("config", "routes"), ("config", "claims")):
+        record = make_member_record(keys[1], "z", "r", 1)
+        replica = ObjectReplica(keys)
+        replica.apply(keys[1], 3, b"{}")
+        replies.append(Replication(Membership(record, (), Random(1), 0.0), replica, lambda _: None))
+    first, second = replies
+    message: Message = ObjectDigest("routes", first.objects.digest())
+    for receiver in (second, first, second):
+        answers = receiver.handle(message, 1.0)
+        if not answers:
+            return
+        message = answers[0].message
+    pytest.fail(f"still exchanging after three messages: {message}")
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -153,3 +153,21 @@
     store.lose_answers, store.down_after_lost_answer = 1, True
     with pytest.raises(operations.EditOutcomeUnknown):
         run(lambda: make_operations(store).update_object("drains", lambda value: b"[drain]"))
+
+
+def test_unknown_write_and_then_an_outage_is_unknown(store: FakeStore) -> None:
+    """Guard against "nothing was written" after a lost write, which may still take effect."""
+    store.lose_writes, store.refuse_writes_after_loss = 1, True
+    with pytest.raises(operations.EditOutcomeUnknown):
+        run(lambda: make_operations(store).apply_configuration(load_document()))
+    other = FakeStore()
+    other.lose_writes, other.refuse_writes_after_loss = 1, True
+    with pytest.raises(operations.EditOutcomeUnknown):
+        run(lambda: make_operations(other).update_object("drains", lambda value: b"[drain]"))
+
+
+def test_lost_writes_that_the_read_back_does_not_show_are_unknown(store: FakeStore) -> None:
+    """Guard against reporting that nothing was written: the store may execute a write later."""
+    store.lose_writes = operations.WRITE_ATTEMPTS_MAX
+    with pytest.raises(operations.EditOutcomeUnknown):
+        run(lambda: make_operations(store).apply_configuration(load_document()))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -77,6 +77,7 @@
         self.views = Views()
         self.ledger = Ledger(base_shares(CONFIGURATION)["p"])
         observer, reserve = ServerObserver(), ShortReserve()
+        self.observer = observer
         self.reserve = reserve
         router = Router(
             "z",
@@ -322,3 +323,23 @@
             tasks.cancel_scope.cancel()
 
     harness.run(test)
+
+
+def test_shed_request_does_not_count_against_its_server(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against ejecting a healthy server that is only full and refuses without running."""
+    harness = PlacerHarness()
+    failures: list[str] = []
+    monkeypatch.setattr(
+        harness.observer, "record_failure", lambda server, *_, **__: failures.append(server)
+    )
+
+    async def test() -> None:
+        placement = await harness.place()
+        before = harness.observer.score("s-1", harness.clock.time_s)
+        harness.placer.finish(placement, AttemptEnd.SHED, is_end_confirmed=True)
+        assert failures == []
+        assert harness.observer.score("s-1", harness.clock.time_s) > before
+
+    harness.run(test)
--- a/tests/test_shiftrunner.py
+++ b/tests/test_shiftrunner.py
@@ -6,12 +6,15 @@
 import attrs
 import pytest
 
-from berylchute import shifts
+from berylchute import shiftrunner, shifts
 from berylchute.balance import ServerObserver
-from berylchute.config import BackendServer, Configuration, HostPosition, Region
+from berylchute.config import BackendServer, Configuration, HostPosition, Link, Region
+from berylchute.ledger import Ledger
 from berylchute.messages import MemberRecord
-from berylchute.shiftrunner import ShiftRunner
+from berylchute.shares import link_resource
+from berylchute.shiftrunner import ShiftRunner, build_observation
 from berylchute.shifts import SHIFTS_KEY, Shift, ShiftSet, ShiftState
+from berylchute.traffic import count_free_units
 from berylchute.types import MemberState, MemberStatus, StoredObject
 from tests.test_claims import FakeStore
 from tests.test_sharecontrol import configuration
@@ -141,3 +144,57 @@
     if is_cancelled and len(percents) > 4:
         assert stored_shift(store).state is ShiftState.CANCELLED
         assert stored_shift(store).current_percent == 0
+
+
+def test_runner_that_was_paused_makes_no_step_from_old_reports(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against a step that is decided from members' reports received before a pause."""
+    monkeypatch.setattr(shiftrunner, "POLL_S", 0.0)
+    store = FakeStore()
+    shift = Shift("x", "svc", "from", "to", 90, STEP_PERCENT, current_percent=10)
+    store.objects[SHIFTS_KEY] = StoredObject(SHIFTS_KEY, 1, shifts.encode([shift]))
+    view = RunnerView("h1")
+    states: list[tuple[ShiftState, int]] = []
+
+    async def pause() -> None:
+        states.append((stored_shift(store).state, stored_shift(store).current_percent))
+        view.time_s += 30.0 if len(states) == 1 else 0.1
+
+    # Point 2 is after the first read; PausingStore calls the hook only there.
+    runner = build_runner(view, PausingStore(store, 2, pause))
+    runner._shift_set.update_from_object(store.objects[SHIFTS_KEY].value)
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(runner.run, two_regions)
+            await anyio.sleep(0.05)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+    assert stored_shift(store).reason == "no recent report"
+    assert stored_shift(store).current_percent == 10
+
+
+def observe_link(*reports: MemberStatus) -> float:
+    base = attrs.evolve(
+        two_regions(), links=(Link("from", "to", 10_000_000), Link("to", "from", 10_000_000))
+    )
+    shift = Shift("x", "svc", "from", "to", 90, STEP_PERCENT)
+    return build_observation(shift, base, reports, ServerObserver(), 0.0).link_free_ratio
+
+
+def test_members_that_are_gone_and_full_links_are_not_free() -> None:
+    """Guard against a shift over a link that is full, or free only in the report of a dead host."""
+    live = RunnerView("h1").list_members()[0]
+    key = link_resource("from", "to")
+
+    def with_free(units: int, state: MemberState) -> MemberStatus:
+        return attrs.evolve(
+            live, record=attrs.evolve(live.record, free_units={key: units}), state=state
+        )
+
+    assert observe_link(with_free(10, MemberState.GONE), with_free(0, MemberState.LIVE)) == 0.0
+    assert observe_link(with_free(5, MemberState.LIVE)) == 0.5
+    configuration_found = attrs.evolve(two_regions(), links=(Link("from", "to", 10_000_000),))
+    assert count_free_units(configuration_found, Ledger({key: 0}), 0.0)[key] == 0
--- a/tests/test_soak_world.py
+++ b/tests/test_soak_world.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from soak.faults import OverlappingFaults
 from soak.world import SoakWorld
 
 
@@ -37,3 +38,13 @@
 
     asyncio.run(main())
     assert len(started) == 1 and world._processes == started
+
+
+def test_fault_that_ends_leaves_an_overlapping_one_in_force() -> None:
+    """Guard against faults that end early because another one on the same part has ended."""
+    faults: OverlappingFaults[str] = OverlappingFaults()
+    with faults.inject("down"):
+        with faults.inject("down"), faults.inject("slow"):
+            assert "down" in faults and "slow" in faults
+        assert "down" in faults and "slow" not in faults
+    assert "down" not in faults
--- a/tests/test_validation.py
+++ b/tests/test_validation.py
@@ -56,3 +56,12 @@
     )
     invalid_document = attrs.evolve(load_example(), client_blocks=blocks)
     assert "document" in [problem.path for problem in validation.find_problems(invalid_document)]
+
+
+def test_token_listed_twice_for_one_customer_is_reported() -> None:
+    """Guard against a token that stays valid after one of its two entries was removed."""
+    document = load_example()
+    first, *rest = document.customers
+    twice = attrs.evolve(first, token_sha256=first.token_sha256[:1] * 2)
+    problems = validation.find_problems(attrs.evolve(document, customers=(twice, *rest)))
+    assert [problem.reason for problem in problems] == ["duplicate token"]
