Estimate load over the work time, keep servers that lose answers, put returning callers first

A reported load was forgotten within 0.6 s, though work takes 0.5 to 1.6 s there and the queue as long again. From 15 to 19 s servers reset 40% of their answers; each loss made the server cold for every member (5 requests a second by one sender), so that keys moved to servers that did not hold them. Callers were refused twice while new ones were served, and the retry budget was spent on new ones. One Outgoing; free units and slots no longer also called headroom.

--- a/berylchute/attempts.py
+++ b/berylchute/attempts.py
@@ -49,7 +49,8 @@
 class ActiveRequest:
     """A request in flight.
 
-    `deadline_s` is a time of the process's clock. `may_have_run` means that a server may have
+    `deadline_s` is a time of the process's clock. `is_return` means that the caller was probably
+    refused before. `may_have_run` means that a server may have
     processed the request, so the caller must not be told that it did not run. `failed_answer` is
     the server error that caused a retry. `retry_cause` is the cause of
     the next attempt, empty before the first failed one.
@@ -61,6 +62,7 @@
     service: str
     key: str
     deadline_s: float
+    is_return: bool = False
     attempts: list[Attempt] = attrs.Factory(list)
     send_count: int = 0
     not_sent_count: int = 0
--- a/berylchute/backends.py
+++ b/berylchute/backends.py
@@ -1,41 +1,18 @@
-"""Track the registered backend servers: their load, failures, and which may receive requests."""
+"""Track the registered backend servers: their order for a key, and which may receive requests."""
 
 import math
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from hashlib import blake2b
 
-import attrs
-
 from berylchute.answerlimits import AnswerMemory
 from berylchute.regions import RegionShare, region_of_key, region_shares
+from berylchute.servers import Server, WorkTime
 from berylchute.sharedobjects import RouteTable, ServerEntry, ServerList, ServicePolicy
 from berylchute.types import Clock
 from berylchute.upstream import ConnectionPool
 
-__all__ = ["Backends", "ReportedLoad", "Server"]
-
-# Time over which the weight of a reported load falls to zero: the longest usual work time of the
-# deployments' services (0.54 s), rounded up.
-REPORTED_LOAD_DECAY_S = 0.6
-# A reported pace is ignored after this time: the load of other processes on a server's host
-# changes several times a second.
-PACE_AGE_MAX_S = 0.3
-# Weight of one answer in the moving average of a server's usual work time, if it took less or more
-# than the average. About five short answers set the average, and the slow ones among ten hardly
-# change it.
-WORK_TIME_FALL_WEIGHT = 0.2
-WORK_TIME_RISE_WEIGHT = 0.02
-# A server is likely to be late if its pace is at least SLOW_PACE_PERCENT and its work takes more
-# than SERVER_TIME_RATIO_MAX of the latency objective; the rest is the round trip to the caller.
-# Avoiding servers by their mean time instead gives worse results (docs/MEASUREMENTS.md).
-SLOW_PACE_PERCENT = 150
-SERVER_TIME_RATIO_MAX = 0.8
-# Backoff after a failure, doubled with each further one. A restart takes fractions of a second, and
-# one lost request in 3 s is enough to detect the end of a longer outage.
-FAILURE_BACKOFF_S = 0.3
-FAILURE_BACKOFF_MAX_S = 3.0
-# Failures beyond this one don't lengthen the backoff.
-BACKOFF_DOUBLINGS_MAX = 8
+__all__ = ["Backends"]
+
 # Keys whose preference order is cached; further keys only cost hashing.
 CACHED_ORDERS_MAX = 4096
 # Servers of a key's own region that precede those of other regions. With two of them, a crowded
@@ -56,122 +33,6 @@
 SENDERS_PER_SERVER = 4
 
 
-@attrs.frozen
-class ReportedLoad:
-    """The load that a server reported: requests, slots, and its work time (`pace`).
-
-    `pace` is in percent of the usual work time: above 100, the server is slow.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-    pace: int = 100
-
-    @classmethod
-    def parse(cls, value: bytes | None) -> "ReportedLoad | None":
-        """Return the load in the value of a load header, None if it is missing or malformed."""
-        if value is None:
-            return None
-        try:
-            numbers = [int(part) for part in value.split(b",")]
-            return cls(*numbers[:4])
-        except (ValueError, TypeError):
-            return None
-
-
-@attrs.define(eq=False)
-class Server:
-    """A registered server and its state as this process sees it.
-
-    Times ending in `_at_s` or `_until_s` are times of the process's clock. `is_replaced` is set
-    when the server is no longer registered or another process runs at its address.
-    """
-
-    entry: ServerEntry
-    pool: ConnectionPool
-    cold_until_s: float = 0.0
-    in_flight: int = 0
-    reported: ReportedLoad | None = None
-    reported_at_s: float = -math.inf
-    in_flight_at_report: int = 0
-    answered_at_s: float = -math.inf
-    failures: int = 0
-    may_have_restarted: bool = False
-    backoff_until_s: float = 0.0
-    is_replaced: bool = False
-    next_cold_send_s: float = 0.0
-    usual_work_s: float = 0.0
-
-    def load(self, now_s: float) -> float:
-        """Estimate the number of requests at the server.
-
-        Counts those of this process and, with a weight that falls over time, those that other
-        members had there when the server last reported its load.
-        """
-        if self.reported is None:
-            return self.in_flight
-        others = self.reported.running + self.reported.waiting - self.in_flight_at_report
-        weight = max(0.0, 1.0 - (now_s - self.reported_at_s) / REPORTED_LOAD_DECAY_S)
-        return self.in_flight + max(0.0, others) * weight
-
-    def pace(self, now_s: float) -> int:
-        """Return the reported pace in percent; 100 if none was reported recently."""
-        if self.reported is None or now_s - self.reported_at_s > PACE_AGE_MAX_S:
-            return 100
-        return self.reported.pace
-
-    def is_likely_late(self, goal_s: float, now_s: float) -> bool:
-        """Return whether the server's pace is likely to make answers exceed `goal_s`."""
-        pace = self.pace(now_s)
-        return (
-            pace >= SLOW_PACE_PERCENT
-            and self.usual_work_s * pace / 100.0 > SERVER_TIME_RATIO_MAX * goal_s
-        )
-
-    def record_work_time(self, seconds: float, now_s: float) -> None:
-        """Record the time of an answer, divided by the pace; call after `record_load`."""
-        usual_s = seconds * 100.0 / max(1, self.pace(now_s))
-        if not self.usual_work_s:
-            self.usual_work_s = usual_s
-            return
-        # Requests for objects that the server does not hold take several times longer; the average
-        # is for those that it holds.
-        weight = WORK_TIME_FALL_WEIGHT if usual_s < self.usual_work_s else WORK_TIME_RISE_WEIGHT
-        self.usual_work_s += weight * (usual_s - self.usual_work_s)
-
-    def record_load(self, load: ReportedLoad, now_s: float) -> None:
-        """Record the load that the server reported with an answer."""
-        self.reported, self.reported_at_s, self.in_flight_at_report = load, now_s, self.in_flight
-
-    def record_success(self, now_s: float) -> None:
-        """Record an answer: reset the failure count and end the backoff."""
-        self.answered_at_s = now_s
-        self.failures = 0
-        self.may_have_restarted = False
-        self.backoff_until_s = 0.0
-
-    def record_failure(self, now_s: float) -> None:
-        """Count a failure and start the backoff, which doubles with each failure."""
-        doublings = min(self.failures, BACKOFF_DOUBLINGS_MAX)
-        backoff_s = min(FAILURE_BACKOFF_MAX_S, FAILURE_BACKOFF_S * 2.0**doublings)
-        self.failures += 1
-        self.may_have_restarted = True
-        self.backoff_until_s = now_s + backoff_s
-
-    def record_timeout(self, sent_s: float, now_s: float) -> None:
-        """Count a request without an answer as a failure, unless others were answered since."""
-        if self.answered_at_s < sent_s:
-            # A server that was only slow keeps its caches, so that it needs no warm-up.
-            may_have_restarted = self.may_have_restarted
-            self.record_failure(now_s)
-            self.may_have_restarted = may_have_restarted
-
-    def is_cold(self, now_s: float) -> bool:
-        """Return whether the server is warming up and limited to its cold rate."""
-        return now_s < self.cold_until_s
-
-
 class Backends:
     """The registered servers by service, ordered for an affinity key by rendezvous hashing."""
 
@@ -196,6 +57,7 @@
         self._zone_connect_s: dict[str, float] = {}
         self._drained_zones: frozenset[str] = frozenset()
         self._opened_to_removed = 0
+        self._work_times: dict[str, WorkTime] = {}
 
     def __len__(self) -> int:
         return len(self._servers)
@@ -365,7 +227,8 @@
             else CONNECTIONS_DEFAULT
         )
         pool = ConnectionPool(entry.address, self._clock, connections_max, self._answer_memory)
-        return Server(entry, pool)
+        work_time = self._work_times.setdefault(entry.service, WorkTime())
+        return Server(entry, pool, work_time=work_time)
 
     def _remove(self, server: Server) -> None:
         server.is_replaced = True
--- a/berylchute/borrowing.py
+++ b/berylchute/borrowing.py
@@ -5,13 +5,19 @@
 import attrs
 
 from berylchute.ledger import Ledger, UnmetDemand
-from berylchute.messages import LoanGrant, LoanOffer, LoanRecall, LoanRequest, LoanReturn, Message
+from berylchute.loanterm import LOAN_TERM_MAX_S, loan_term_s
+from berylchute.messages import (
+    LoanGrant,
+    LoanOffer,
+    LoanRecall,
+    LoanRequest,
+    LoanReturn,
+    Outgoing,
+)
 from berylchute.types import Position, ResourceId
 
-__all__ = ["LOAN_TERM_MAX_S", "Borrower", "LenderCandidate", "Outgoing", "loan_term_s"]
+__all__ = ["LOAN_TERM_MAX_S", "Borrower", "LenderCandidate", "loan_term_s"]
 
-# Not configurable: a restarted lender waits for the end of loans granted under any configuration.
-LOAN_TERM_MAX_S = 90.0
 # Demand that is not recorded again for this long is dropped.
 DEMAND_TTL_S = 0.3
 # A lender that granted less of a resource than requested gets no request for it for this long.
@@ -24,22 +30,6 @@
 SWEEP_INTERVAL_S = 1.0
 
 
-def loan_term_s(horizon_s: float) -> float:
-    """Return the term in seconds of a loan for requests that need their units for `horizon_s`.
-
-    A request must start and end within the term.
-    """
-    return min(LOAN_TERM_MAX_S, horizon_s + max(4.0, horizon_s / 2))
-
-
-@attrs.frozen
-class Outgoing:
-    """A message to send to the peer at `address`."""
-
-    address: str
-    message: Message
-
-
 @attrs.frozen
 class LenderCandidate:
     """A host that may lend; `shares` are the units of its base share per resource."""
--- a/berylchute/commands.py
+++ b/berylchute/commands.py
@@ -93,10 +93,10 @@
         return in_use
 
     async def show_impact(self, before: Configuration, after: Configuration) -> None:
-        """Write the headroom before and after a change, by region and service."""
-        changes = impact.headroom_changes(before, after, await self.fetch_slots_in_use())
+        """Write the slots before and after a change, by region and service."""
+        changes = impact.slot_changes(before, after, await self.fetch_slots_in_use())
         rows = [{**attrs.asdict(change), "free_after": change.free_after} for change in changes]
-        self.renderer.write_rows("headroom by region and service", rows)
+        self.renderer.write_rows("slots by region and service", rows)
 
     def show_host_impact(self, document: Configuration, host_position: str) -> None:
         """Write the entry hosts of each zone before and after a drain of one of them."""
--- a/berylchute/ctl.py
+++ b/berylchute/ctl.py
@@ -64,7 +64,7 @@
     wait
         Return after all live hosts have it in force, or fail after a timeout of 30 s.
     dry_run
-        Show the differences and the effect on headroom; write nothing.
+        Show the differences and the effect on free slots; write nothing.
     """
 
     async def command(context: CommandContext) -> int:
--- a/berylchute/drainctl.py
+++ b/berylchute/drainctl.py
@@ -33,7 +33,7 @@
     target: DrainTarget,
     name: str,
     *,
-    dry_run: Annotated[bool, Parameter(help="Show the effect on headroom; write nothing.")] = False,
+    dry_run: Annotated[bool, Parameter(help="Show the effect; write nothing.")] = False,
     common: Common = COMMON,
 ) -> int:
     """Declare a drain: new requests stop within 2 s, requests in flight finish."""
@@ -105,7 +105,7 @@
 def stop(
     drain_id: str,
     *,
-    dry_run: Annotated[bool, Parameter(help="Show the effect on headroom; write nothing.")] = False,
+    dry_run: Annotated[bool, Parameter(help="Show the effect; write nothing.")] = False,
     common: Common = COMMON,
 ) -> int:
     """Stop a drain; its target serves new requests again."""
--- a/berylchute/impact.py
+++ b/berylchute/impact.py
@@ -1,4 +1,4 @@
-"""Compute the effect of a configuration change or drain on headroom in advance."""
+"""Compute the effect of a configuration change or drain on slots and hosts in advance."""
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
@@ -8,9 +8,9 @@
 from berylchute.config import Configuration
 
 __all__ = [
-    "HeadroomChange",
+    "SlotChange",
     "HostChange",
-    "headroom_changes",
+    "slot_changes",
     "host_changes",
     "slots_by_region_and_service",
     "without_drained_servers",
@@ -18,7 +18,7 @@
 
 
 @attrs.frozen
-class HeadroomChange:
+class SlotChange:
     """Slots of a service in a region before and after a change, and slots in use now."""
 
     region: str
@@ -87,9 +87,9 @@
     return attrs.evolve(document, backend_servers=tuple(kept))
 
 
-def headroom_changes(
+def slot_changes(
     before: Configuration, after: Configuration, in_use_by_server: Mapping[str, int]
-) -> list[HeadroomChange]:
+) -> list[SlotChange]:
     """Return one row per region and service whose slots change, in sorted order."""
     region_of = {zone.name: zone.region for zone in before.availability_zones}
     in_use: Counter[tuple[str, str]] = Counter()
@@ -99,7 +99,7 @@
     old, new = slots_by_region_and_service(before), slots_by_region_and_service(after)
     places: Iterable[tuple[str, str]] = sorted({*old, *new})
     return [
-        HeadroomChange(region, service, old[region, service], new[region, service], in_use[place])
+        SlotChange(region, service, old[region, service], new[region, service], in_use[place])
         for place in places
         for region, service in [place]
         if old[place] != new[place]
--- a/berylchute/ledger.py
+++ b/berylchute/ledger.py
@@ -5,12 +5,11 @@
 
 import attrs
 
+from berylchute.accounts import Account, BorrowedLoan
 from berylchute.types import Reservation, ResourceId, ResourceUnits
 
 __all__ = ["Ledger", "UnmetDemand", "Usage"]
 
-# Units up to the peak use of the current and the previous window are not lent.
-PEAK_WINDOW_S = 0.25
 # A host that lacked units of a resource this recently lends none of it: two busy hosts would pass
 # the same unit back and forth.
 NO_LENDING_AFTER_SHORTAGE_S = 0.5
@@ -48,69 +47,12 @@
     is_long: bool
 
 
-@attrs.define
-class _BorrowedLoan:
-    """Units of one loan; `peak` is the highest use since the last call of `pop_idle_units`."""
-
-    units: int
-    expires_s: float
-    used: int = 0
-    peak: int = 0
-    is_recalled: bool = False
-
-    def free_units(self, until_s: float) -> int:
-        if until_s > self.expires_s or self.is_recalled:
-            return 0
-        return self.units - self.used
-
-
-@attrs.define
-class _Account:
-    """Unit counts of one resource.
-
-    `used` (own units in use) and `lent_units` together stay within `share`, except after `share`
-    was reduced.
-    """
-
-    share: int = 0
-    used: int = 0
-    lent: dict[str, int] = attrs.Factory(dict)
-    lent_units: int = 0
-    borrowed: dict[str, _BorrowedLoan] = attrs.Factory(dict)
-    peak: int = 0
-    previous_peak: int = 0
-    window_start_s: float = float("-inf")
-    last_shortage_s: float = float("-inf")
-
-    def own_free_units(self) -> int:
-        free = self.share - self.lent_units - self.used
-        return free if free > 0 else 0
-
-    def excess(self) -> int:
-        return self.used + self.lent_units - self.share
-
-    def free_units(self, until_s: float) -> int:
-        units = self.own_free_units()
-        if not self.borrowed:
-            return units
-        for loan in self.borrowed.values():
-            units += loan.free_units(until_s)
-        return units
-
-    def update_peak(self, now_s: float) -> None:
-        if now_s - self.window_start_s >= PEAK_WINDOW_S:
-            is_stale = now_s - self.window_start_s >= 2 * PEAK_WINDOW_S
-            self.previous_peak = self.used if is_stale else self.peak
-            self.peak, self.window_start_s = self.used, now_s
-        self.peak = max(self.peak, self.used)
-
-
 @attrs.define
 class _ReservationPart:
     """Units of a reservation from the own share (`loan` is None) or from one loan."""
 
-    account: _Account
-    loan: _BorrowedLoan | None
+    account: Account
+    loan: BorrowedLoan | None
     units: int
 
 
@@ -121,7 +63,7 @@
     """
 
     def __init__(self, shares: Mapping[ResourceId, int] | None = None) -> None:
-        self._accounts: dict[ResourceId, _Account] = {}
+        self._accounts: dict[ResourceId, Account] = {}
         self._reservations: dict[int, list[_ReservationPart]] = {}
         self._reservation_expiries: list[tuple[float, int]] = []
         self._borrowed_expiries: list[tuple[float, ResourceId, str]] = []
@@ -290,7 +232,7 @@
         """Add the units of a granted loan; a known loan id is ignored."""
         account = self._account(resource)
         if loan_id not in account.borrowed:
-            account.borrowed[loan_id] = _BorrowedLoan(units, expires_s, peak=units)
+            account.borrowed[loan_id] = BorrowedLoan(units, expires_s, peak=units)
             self._next_expiry_s = min(self._next_expiry_s, expires_s)
             heapq.heappush(self._borrowed_expiries, (expires_s, resource, loan_id))
 
@@ -347,7 +289,7 @@
     def usage(self, resource: ResourceId, now_s: float) -> Usage:
         """Return the current unit counts of one resource."""
         self.expire(now_s)
-        account = self._accounts.get(resource, _Account())
+        account = self._accounts.get(resource, Account())
         borrowed = sum(loan.units for loan in account.borrowed.values())
         used = sum(loan.used for loan in account.borrowed.values())
         return Usage(
@@ -367,12 +309,12 @@
         self._over_share = {r for r, units in excess.items() if units > 0}
         return {r: excess[r] for r in self._over_share}
 
-    def _account(self, resource: ResourceId) -> _Account:
-        return self._accounts.setdefault(resource, _Account())
+    def _account(self, resource: ResourceId) -> Account:
+        return self._accounts.setdefault(resource, Account())
 
     @staticmethod
     def _acquire_units(
-        account: _Account, units: int, until_s: float, parts: list[_ReservationPart]
+        account: Account, units: int, until_s: float, parts: list[_ReservationPart]
     ) -> bool:
         """Add units of a resource to `parts`, own ones first; return whether there were enough."""
         own_units = min(units, account.own_free_units())
--- a/berylchute/lending.py
+++ b/berylchute/lending.py
@@ -5,7 +5,7 @@
 import anyio
 import attrs
 
-from berylchute.borrowing import LOAN_TERM_MAX_S, Borrower, LenderCandidate, Outgoing
+from berylchute.borrowing import LOAN_TERM_MAX_S, Borrower, LenderCandidate
 from berylchute.ledger import Ledger
 from berylchute.messages import (
     LoanGrant,
@@ -14,6 +14,7 @@
     LoanRequest,
     LoanReturn,
     Message,
+    Outgoing,
 )
 from berylchute.types import Clock, PeerSender, Position, ResourceId
 
--- a/berylchute/membership.py
+++ b/berylchute/membership.py
@@ -20,6 +20,7 @@
     MemberUpdate,
     Message,
     ObjectDigest,
+    Outgoing,
 )
 from berylchute.roster import (
     Member,
@@ -30,14 +31,11 @@
     recency_key,
 )
 from berylchute.types import MemberState, MemberStatus, Position
+from berylchute.updatequeue import UpdateQueue
 
-__all__ = ["Membership", "MembershipTiming", "Outgoing"]
+__all__ = ["Membership", "MembershipTiming"]
 
 GOSSIP_FANOUT = 3
-URGENT_RECORDS_MAX = 24
-LOAD_RECORDS_MAX = 4
-# Records sent round-robin whether or not they changed, to make up for lost messages.
-ROTATED_RECORDS_MAX = 2
 SNAPSHOT_RECORDS_MAX = 64
 # The first pulls follow soon after the join, because records in flight at that time may be missing.
 # Later pulls bring SNAPSHOT_RECORDS_MAX records per PULL_PERIOD_S, whatever the size of the fleet.
@@ -49,14 +47,6 @@
 RETRY_GONE_RATIO = 0.25
 
 
-@attrs.frozen
-class Outgoing:
-    """Pair a message with the `ip:port` address of the peer to send it to."""
-
-    address: str
-    message: Message
-
-
 class Membership:
     """Run the membership protocol of one process; implements MemberView.
 
@@ -76,9 +66,7 @@
         self._seeds = tuple(seed for seed in seeds if seed != record.peer_address)
         self._now_s = now_s
         self._roster = Roster(record, now_s, self._timing)
-        self._urgent_rounds: dict[str, int] = {}
-        self._load_rounds: dict[str, int] = {}
-        self._rotation: list[str] = []
+        self._queue = UpdateQueue()
         self._digest: Mapping[str, int] = {}
         self._leave_repeats_left = self._beat_offset = self._pull_count = 0
         self._has_joined = not self._seeds
@@ -151,7 +139,7 @@
             self._roster.exclude_own_pause(gap_s)
         self._now_s = now_s
         for host_id in self._roster.update_states(now_s, self._beat_delay_max_s()):
-            self._urgent_rounds[host_id] = self._spread_rounds()
+            self._queue.add_urgent(host_id, self._spread_rounds())
         out: list[Outgoing] = []
         if now_s >= self._heartbeat_due_s:
             out += self._heartbeat_messages(now_s)
@@ -189,9 +177,9 @@
 
     def _queue_change(self, old: MemberRecord | None, new: MemberRecord) -> None:
         if old is None or is_urgent_change(old, new):
-            self._urgent_rounds[new.host_id] = self._spread_rounds()
+            self._queue.add_urgent(new.host_id, self._spread_rounds())
         elif is_load_change(old, new):
-            self._load_rounds[new.host_id] = 1
+            self._queue.add_load(new.host_id)
 
     def _apply_update(self, update: MemberUpdate, now_s: float) -> list[Outgoing]:
         self._has_joined = True
@@ -204,24 +192,11 @@
         sender = self._roster.members.get(update.sender)
         for name, beat in update.zone_beats.items():
             last_heard_s = now_s - update.zone_ages_ms.get(name, 0) / 1000.0
-            if self._apply_beat(name, beat, last_heard_s) and sender is not None:
+            if self._roster.apply_beat(name, beat, last_heard_s) and sender is not None:
                 pull = MemberPull(sender_address=self.record.peer_address, availability_zone=name)
                 out.append(Outgoing(sender.record.peer_address, pull))
         return out
 
-    def _apply_beat(self, name: str, beat: int, last_heard_s: float) -> bool:
-        """Apply a zone's beat; return whether records of the zone may have been missed."""
-        zone = self._roster.zones.get(name)
-        if zone is None:
-            return True
-        if beat > zone.beat:
-            zone.beat, zone.last_heard_s = beat, last_heard_s
-            return zone.state is MemberState.GONE
-        if beat == zone.beat:
-            # Both times are of the same beat; the later one includes a longer message delay.
-            zone.last_heard_s = min(zone.last_heard_s, last_heard_s)
-        return False
-
     def _apply_record(
         self, record: MemberRecord, age_ms: int, now_s: float, may_gossip: bool = True
     ) -> None:
@@ -237,7 +212,7 @@
             if age_s > self._timing.remove_after_s:
                 return
             member = self._roster.add(record, now_s - age_s)
-            self._rotation.append(record.host_id)
+            self._queue.add_member(record.host_id)
             if may_gossip:
                 self._queue_change(None, record)
         elif recency_key(record) > recency_key(member.record):
@@ -248,10 +223,10 @@
             member.last_heard_s = min(member.last_heard_s, now_s - age_s)
         else:
             if is_silent and not member.is_silent and self._roster.is_monitored(member):
-                self._urgent_rounds[record.host_id] = 1  # corrects a relay that missed heartbeats
+                self._queue.add_urgent(record.host_id, 1)  # corrects a relay that missed heartbeats
             return
         if self._roster.set_silent(member, is_silent) and may_gossip:
-            self._urgent_rounds[record.host_id] = self._spread_rounds()
+            self._queue.add_urgent(record.host_id, self._spread_rounds())
         self._roster.update_member_state(member, now_s)
 
     def _refute(
@@ -268,7 +243,7 @@
         newest_sequence = max(own.sequence, record.sequence)
         refutation = attrs.evolve(own, incarnation=incarnation, sequence=newest_sequence)
         self._roster.replace_record(self._roster.own, refutation, now_s)
-        self._urgent_rounds[own.host_id] = self._spread_rounds()
+        self._queue.add_urgent(own.host_id, self._spread_rounds())
         out = self._heartbeat_messages(now_s)
         reporter = self._roster.members.get(sender)
         if reporter is not None and all(o.address != reporter.record.peer_address for o in out):
@@ -281,10 +256,7 @@
 
     def _remove_member(self, host_id: str) -> None:
         self._roster.remove(host_id)
-        if host_id in self._rotation:
-            self._rotation.remove(host_id)
-        self._urgent_rounds.pop(host_id, None)
-        self._load_rounds.pop(host_id, None)
+        self._queue.remove_member(host_id)
 
     def _own_heartbeat(self) -> Heartbeat:
         return Heartbeat(record=self.record, digest=self._digest)
@@ -320,24 +292,9 @@
         return out + [Outgoing(address, digest) for address in addresses]
 
     def _select_members(self) -> list[Member]:
-        """Return the members for the next update: itself, changed ones, then some round-robin."""
-        selected = [self.record.host_id]
-        for queue, count in (
-            (self._urgent_rounds, URGENT_RECORDS_MAX),
-            (self._load_rounds, LOAD_RECORDS_MAX),
-        ):
-            for host_id in list(queue)[:count]:
-                selected.append(host_id)
-                rounds = queue.pop(host_id) - 1
-                if rounds > 0:
-                    queue[host_id] = rounds
-        rotated = self._rotation[:ROTATED_RECORDS_MAX]
-        # Drops removed members from the rotation.
-        remaining = [host_id for host_id in rotated if host_id in self._roster.members]
-        self._rotation = self._rotation[ROTATED_RECORDS_MAX:] + remaining
-        known = (
-            self._roster.members.get(host_id) for host_id in dict.fromkeys([*selected, *rotated])
-        )
+        """Return the members whose records go into the next update."""
+        host_ids = self._queue.pop_next(self.record.host_id)
+        known = (self._roster.members.get(host_id) for host_id in host_ids)
         # A receiver that has already removed a gone zone would add its member again as live.
         return [member for member in known if member and not self._is_zone_gone(member)]
 
--- a/berylchute/messages.py
+++ b/berylchute/messages.py
@@ -23,6 +23,7 @@
     "ObjectDigest",
     "ObjectPull",
     "ObjectPush",
+    "Outgoing",
     "decode",
     "encode",
 ]
@@ -179,6 +180,15 @@
     | LoanRecall
 )
 
+
+@attrs.frozen
+class Outgoing:
+    """A message to send to the peer at `address` (`ip:port`)."""
+
+    address: str
+    message: Message
+
+
 _MESSAGE_TYPES: Mapping[bytes, type[Message]] = {
     kind.__name__.encode(): kind
     for kind in (
--- a/berylchute/node.py
+++ b/berylchute/node.py
@@ -13,8 +13,8 @@
 
 from berylchute.config import Configuration, decode_json
 from berylchute.exceptions import ConfigError, StoreError
-from berylchute.membership import Membership, MembershipTiming, Outgoing
-from berylchute.messages import MemberRecord, Message
+from berylchute.membership import Membership, MembershipTiming
+from berylchute.messages import MemberRecord, Message, Outgoing
 from berylchute.objects import OBJECT_KEYS, ObjectReplica
 from berylchute.peers import PeerCounters, Peers
 from berylchute.replication import Replication
--- a/berylchute/placement.py
+++ b/berylchute/placement.py
@@ -17,6 +17,7 @@
 from berylchute.exchange import ServerTarget
 from berylchute.forwardedrequest import AttemptEnd, ForwardedRequest, Placement, split_address
 from berylchute.lending import TICK_INTERVAL_S as LENDING_TICK_S
+from berylchute.placements import CapacityPlacement, Waiter
 from berylchute.refusals import RefusalCode, RefusedError
 from berylchute.routing import Candidate, RouteAction, Router, RouteRequest, RoutingDecision
 from berylchute.tracing import QUEUE, SLOT
@@ -53,27 +54,6 @@
     return _UnitsKey(request.kind.service, request.caller.plan, request.kind.size)
 
 
-@attrs.define(eq=False)
-class CapacityPlacement(Placement):
-    """A placement and the reservation of its units."""
-
-    candidate: Candidate
-    reservation: Reservation
-    service: str
-    kind: str
-    is_released: bool = False
-
-
-@attrs.define(eq=False)
-class _Waiter:
-    request: ForwardedRequest
-    excluded_servers: frozenset[str]
-    ready: anyio.Event
-    placement: CapacityPlacement | None = None
-    refusal: QueueRefusalReason | None = None
-    error: RefusedError | None = None
-
-
 class CapacityPlacer:
     """Place attempts within the units of the ledger; implements `Placer`."""
 
@@ -93,7 +73,7 @@
         self._observer = observer
         self._reserve = reserve
         self._queues: dict[str, AdmissionQueue] = {}
-        self._waiters: dict[str, _Waiter] = {}
+        self._waiters: dict[str, Waiter] = {}
         self._targets: dict[str, ServerTarget] = {}
         self._unconfirmed: list[tuple[float, int, CapacityPlacement]] = []
         self._queued_by_key: Counter[_UnitsKey] = Counter()
@@ -223,7 +203,7 @@
             request.deadline_s,
             now_s,
         )
-        waiter = _Waiter(request, excluded_servers, anyio.Event())
+        waiter = Waiter(request, excluded_servers, anyio.Event())
         self._waiters[queued.request_id] = waiter
         self._queued_by_key[_units_key(request)] += 1
         try:
--- a/berylchute/replication.py
+++ b/berylchute/replication.py
@@ -4,8 +4,15 @@
 
 import attrs
 
-from berylchute.membership import Membership, Outgoing
-from berylchute.messages import Heartbeat, Message, ObjectDigest, ObjectPull, ObjectPush
+from berylchute.membership import Membership
+from berylchute.messages import (
+    Heartbeat,
+    Message,
+    ObjectDigest,
+    ObjectPull,
+    ObjectPush,
+    Outgoing,
+)
 from berylchute.objects import ObjectReplica
 from berylchute.types import StoredObject
 
--- a/berylchute/requesthandler.py
+++ b/berylchute/requesthandler.py
@@ -8,30 +8,27 @@
 import attrs
 
 from berylchute.attempts import ActiveRequest, Attempt, Outcome, encode_request, round_ms
-from berylchute.backends import Backends, ReportedLoad, Server
+from berylchute.backends import Backends
 from berylchute.background import BackgroundTasks
-from berylchute.callers import CallerAnswer, Header, PendingRequest
+from berylchute.callers import CallerAnswer, PendingRequest
 from berylchute.edgemetrics import EdgeMetrics
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import ExchangeError, NotSent
 from berylchute.headernames import HeaderNames
+from berylchute.retryafter import STARTING_RETRY_AFTER_S, choose_delay_s, make_retry_after
 from berylchute.retrybudget import RetryBounds, RetryBudget
+from berylchute.returns import ReturnDetector
 from berylchute.routeindex import RouteIndex
 from berylchute.selection import Selection, Selector
+from berylchute.servers import ReportedLoad, Server
 from berylchute.sharedobjects import Route, RouteKind
 from berylchute.types import Clock
 from berylchute.upstream import ServerAnswer
 
 __all__ = ["RequestHandler"]
 
-# Range of Retry-After as a ratio of the caller's remaining time. It is random for each refusal, so
-# that retries don't arrive together. Callers wait at most a third of their remaining time, and
-# shorter delays bring no gain (docs/MEASUREMENTS.md).
-RETRY_AFTER_RATIO_RANGE = (0.2, 0.33)
 # Remaining time assumed for callers that send no deadline: the usual timeout of HTTP clients.
 TIME_LEFT_DEFAULT_S = 30.0
-# Retry-After while no configuration is known: a few round trips to a store across a continent.
-STARTING_RETRY_AFTER_S = 0.3
 # Unreachable servers skipped for one request. Each may take CONNECT_TIMEOUT_S, and all of them
 # together most of a usual time budget of 1.5 s.
 NOT_SENT_MAX = 3
@@ -73,6 +70,7 @@
         self._region_of_zone = region_of_zone
         self._started_s = clock.now_s()
         self._retry_budgets: dict[str, RetryBudget] = {}
+        self._returns = ReturnDetector()
         self.in_flight = 0
 
     def handle(self, pending: PendingRequest) -> None:
@@ -83,8 +81,8 @@
         request = pending.request
         table = self._routes.table
         if table is None or not len(self._backends):
-            retry_after = _retry_after(STARTING_RETRY_AFTER_S)
-            self._end(pending, None, Outcome.STARTING, CallerAnswer(503, (retry_after,)))
+            headers = (make_retry_after(STARTING_RETRY_AFTER_S),)
+            self._end(pending, None, Outcome.STARTING, CallerAnswer(503, headers))
             return
         route = self._routes.find(request.host, request.path)
         if route is None:
@@ -100,6 +98,7 @@
             service=self._routes.select_service(route),
             key=request.affinity_key or request.request_id,
             deadline_s=request.received_s + min(remaining_s, route.timeout_s),
+            is_return=self._returns.is_return(route.name, request.time_left_ms, request.received_s),
         )
         self._retry_budget(active.service).record_request(self._clock.now_s())
         self._background_tasks.start_isolated(self._run_attempts, active)
@@ -138,6 +137,7 @@
             lambda zone: self._is_allowed_zone(active.route, zone),
             active.tried_ids,
             now_s,
+            is_return=active.is_return,
         )
 
     async def _send_attempt(self, active: ActiveRequest) -> bool:
@@ -149,7 +149,7 @@
             self._refuse(active, selection)
             return True
         if active.send_count and not self._retry_budget(active.service).acquire(
-            self._member_count(), now_s
+            self._member_count(), now_s, is_return=active.is_return
         ):
             active.reason = f"{active.reason}, no retry budget"
             self._end_unanswered(active)
@@ -219,7 +219,8 @@
             server.record_load(reported, now_s)
             if answer.status < 300:
                 server.record_work_time(seconds, now_s)
-        if server.may_have_restarted:
+                server.work_time.record(seconds, reported)
+        if server.has_restarted(answer.opened_s):
             self._backends.record_recovery(server, now_s)
         if server.failures:
             self._log.event("server_back", server=server.entry.server_id)
@@ -227,7 +228,8 @@
         if answer.status == 421:
             server.is_replaced = True
             self._log.event("server_replaced", server=server.entry.server_id)
-        if answer.status == 421 or answer.find_header(self._header_names.not_run) is not None:
+        is_not_run = answer.find_header(self._header_names.not_run) is not None
+        if answer.status == 421 or is_not_run:
             active.reason = f"server_refused_{answer.status}"
             if active.send_count < active.route.attempts_max:
                 active.retry_cause = "server_refused"
@@ -260,7 +262,10 @@
             active.route.kind.is_idempotent
             and active.send_count < active.route.attempts_max
             and active.deadline_s - now_s > active.route.goal_s
-            and self._retry_budget(active.service).remaining(self._member_count(), now_s) >= 1.0
+            and self._retry_budget(active.service).remaining(
+                self._member_count(), now_s, is_return=active.is_return
+            )
+            >= 1.0
         )
 
     def _refuse(self, active: ActiveRequest, selection: Selection) -> None:
@@ -282,10 +287,8 @@
         if active.request.time_left_ms is not None:
             elapsed_s = self._clock.now_s() - active.request.received_s
             remaining_s = max(0.0, active.request.time_left_ms / 1000.0 - elapsed_s)
-        retry_after = _retry_after(remaining_s * self._rng.uniform(*RETRY_AFTER_RATIO_RANGE))
-        self._end(
-            active.pending, active, Outcome.REFUSED, CallerAnswer(503, (retry_after,)), selection
-        )
+        headers = (make_retry_after(choose_delay_s(remaining_s, self._rng)),)
+        self._end(active.pending, active, Outcome.REFUSED, CallerAnswer(503, headers), selection)
 
     def _end(
         self,
@@ -374,10 +377,6 @@
         return budget
 
 
-def _retry_after(delay_s: float) -> Header:
-    return (b"Retry-After", b"%.3f" % delay_s)
-
-
 def _new_attempt(
     active: ActiveRequest, server: Server, selection: Selection, now_s: float
 ) -> Attempt:
--- a/berylchute/retrybudget.py
+++ b/berylchute/retrybudget.py
@@ -10,6 +10,8 @@
 # they begin up to a quarter of a window earlier or later, and may hold only this ratio of its
 # requests.
 USED_RATIO = 0.75
+# Ratio of the used budget that is reserved for callers that return after a refusal.
+RESERVED_RATIO = 0.5
 # A process doesn't know how many members share the budget until it has received their heartbeats:
 # no burst for ten heartbeats after the start.
 MEMBER_DISCOVERY_S = 5.0
@@ -41,17 +43,22 @@
         self._requests.append(now_s)
         self._discard_old(now_s)
 
-    def remaining(self, member_count: int, now_s: float) -> float:
-        """Return the retries that may be sent now; `member_count` members share the burst."""
+    def remaining(self, member_count: int, now_s: float, *, is_return: bool = True) -> float:
+        """Return the retries that may be sent now; `member_count` members share the burst.
+
+        A part is reserved for callers that return after a refusal (`is_return`): they would be
+        refused again, while new callers can still come back.
+        """
         self._discard_old(now_s)
         allowed = self.bounds.ratio * len(self._requests)
         if now_s - self._started_s > MEMBER_DISCOVERY_S:
             allowed += self.bounds.burst / max(1, member_count)
-        return allowed * USED_RATIO - len(self._retries)
+        usable_ratio = USED_RATIO if is_return else USED_RATIO * (1.0 - RESERVED_RATIO)
+        return allowed * usable_ratio - len(self._retries)
 
-    def acquire(self, member_count: int, now_s: float) -> bool:
-        """Reserve one retry; return whether the budget allows it."""
-        if self.remaining(member_count, now_s) < 1.0:
+    def acquire(self, member_count: int, now_s: float, *, is_return: bool = True) -> bool:
+        """Spend one retry; return whether the budget allows it."""
+        if self.remaining(member_count, now_s, is_return=is_return) < 1.0:
             return False
         self._retries.append(now_s)
         return True
--- a/berylchute/roster.py
+++ b/berylchute/roster.py
@@ -174,6 +174,19 @@
         self._monitored.discard(host_id)
         self._statuses = None
 
+    def apply_beat(self, name: str, beat: int, last_heard_s: float) -> bool:
+        """Apply a zone's beat; return whether records of the zone may have been missed."""
+        zone = self.zones.get(name)
+        if zone is None:
+            return True
+        if beat > zone.beat:
+            zone.beat, zone.last_heard_s = beat, last_heard_s
+            return zone.state is MemberState.GONE
+        if beat == zone.beat:
+            # Both times are of the same beat; the later one includes a longer message delay.
+            zone.last_heard_s = min(zone.last_heard_s, last_heard_s)
+        return False
+
     def replace_record(self, member: Member, record: MemberRecord, last_heard_s: float) -> None:
         """Replace a member's record by a newer one, received at `last_heard_s`."""
         member.record = record
--- a/berylchute/routing.py
+++ b/berylchute/routing.py
@@ -3,7 +3,6 @@
 import operator
 import random
 from collections.abc import Mapping, Sequence
-from typing import Protocol
 
 import attrs
 
@@ -13,6 +12,7 @@
 from berylchute.exceptions import RoutingError
 from berylchute.regionindex import IndexedRegion, IndexedServer, IndexedZone, compile_region_index
 from berylchute.routes import Candidate, RankReason, RouteRequest, RoutingDecision
+from berylchute.routingviews import DrainView, FreeUnitsView, LinkView, ShiftView
 from berylchute.spillover import (
     DisplaceFirst,
     FullRegion,
@@ -30,7 +30,7 @@
     "DrainView",
     "FullRegion",
     "FullRegionPolicy",
-    "HeadroomView",
+    "FreeUnitsView",
     "LinkView",
     "NextRegionFirst",
     "QuickerFirst",
@@ -60,44 +60,6 @@
 SERVER_CHOICES = 2
 
 
-class DrainView(Protocol):
-    """Report which servers, hosts, availability zones and regions are draining."""
-
-    def is_draining(self, target: str, name: str) -> bool:
-        """Return whether `name` is draining; `target` is its type.
-
-        The type is server, host, availability_zone or region.
-        """
-        ...
-
-
-class ShiftView(Protocol):
-    """Report how active shifts split the requests of a service over regions."""
-
-    def region_weights(self, service: str, region: str) -> Mapping[str, float]:
-        """Return the fraction of requests preferring `region` that each region receives.
-
-        The fractions sum to 1; the mapping is empty when no shift applies to the region.
-        """
-        ...
-
-
-class HeadroomView(Protocol):
-    """Report the free units of this host; every `CapacityLedger` implements it."""
-
-    def free_units(self, resource: ResourceId, until_s: float, now_s: float) -> int:
-        """Return the units that a request ending by `until_s` could acquire now."""
-        ...
-
-
-class LinkView(Protocol):
-    """Report how long transfers wait for this host's budget on a link."""
-
-    def wait_s(self, link: ResourceId, size_bytes: int, now_s: float) -> float:
-        """Return the expected seconds until `size_bytes` may be sent."""
-        ...
-
-
 @attrs.define
 class _RankedRegion:
     """Candidates found in one region; `wanted` is the best one and may have no free units."""
@@ -117,7 +79,7 @@
         availability_zone: str,
         region: str,
         observer: ServerObserver,
-        headroom: HeadroomView,
+        free_units: FreeUnitsView,
         drains: DrainView,
         shifts: ShiftView,
         links: LinkView,
@@ -128,7 +90,7 @@
         self._availability_zone = availability_zone
         self._region = region
         self._observer = observer
-        self._headroom = headroom
+        self._free_units = free_units
         self._drains = drains
         self._shifts = shifts
         self._links = links
@@ -357,7 +319,7 @@
         rng: random.Random,
     ) -> None:
         """Add up to two servers with a free slot; set `wanted`, if it is None, to one without."""
-        free_units = self._headroom.free_units
+        free_units = self._free_units.free_units
         excluded, until_s = request.excluded_servers, request.deadline_s
         has_free_units, has_wanted = ranked.free_units > 0, ranked.wanted is not None
         if has_wanted and not has_free_units:
@@ -404,7 +366,7 @@
 
     def _region_units(self, region: IndexedRegion, request: RouteRequest, now_s: float) -> int:
         """Return the units free in region and plan, 0 if reserved for short kinds."""
-        free = self._headroom.free_units
+        free = self._free_units.free_units
         region_free = free(region.region_units.resource, request.deadline_s, now_s)
         if not self._reserve.allows(request.size, region.region_units.resource, region_free):
             return 0
--- a/berylchute/selection.py
+++ b/berylchute/selection.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from berylchute.backends import Backends, Server
+from berylchute.backends import Backends
+from berylchute.servers import Server
 
 __all__ = ["NoServerReason", "Selection", "Selector"]
 
@@ -15,6 +16,9 @@
 # Ratio of requests to slots from which a server is full. A short queue keeps the slots busy: 1.0
 # serves fewer requests, and 1.6 serves no more (docs/MEASUREMENTS.md).
 FULL_LOAD_RATIO = 1.25
+# The same for callers that return after a refusal: they find room where new callers are refused,
+# at the price of a short wait.
+RETURN_FULL_LOAD_RATIO = 1.6
 # Ratio of requests to slots below which a server substitutes for a slow one: servers slow down when
 # nearly all of their slots are taken.
 SUBSTITUTE_LOAD_RATIO = 0.8
@@ -62,13 +66,17 @@
         is_allowed_zone: Callable[[str], bool],
         tried_ids: Collection[str],
         now_s: float,
+        *,
+        is_return: bool = False,
     ) -> Selection:
         """Return the first of a key's preferred servers that is not full.
 
         Servers in `tried_ids` and in zones for which `is_allowed_zone` is false are skipped. A
         server that is likely to exceed the latency objective `goal_s` is selected only if the
-        other preferred one is too loaded to substitute for it.
+        other preferred one is too loaded to substitute for it. A caller that returns after a
+        refusal (`is_return`) may be sent to a server with a longer queue.
         """
+        full_ratio = RETURN_FULL_LOAD_RATIO if is_return else FULL_LOAD_RATIO
         considered = 0
         least_load = 0.0
         late_selection: Selection | None = None
@@ -85,7 +93,7 @@
                 continue
             considered += 1
             load = server.load(now_s)
-            if load < FULL_LOAD_RATIO * server.entry.slots:
+            if load < full_ratio * server.entry.slots:
                 selection = Selection(server, None, load, now_s - server.reported_at_s, rank)
                 if late_selection is None and server.is_likely_late(goal_s, now_s):
                     # Another server may answer in time, even if it holds no objects of the key.
--- a/berylchute/shiftctl.py
+++ b/berylchute/shiftctl.py
@@ -41,10 +41,10 @@
     to_region: Annotated[str, Parameter(name="--to", help="Region to move traffic to.")],
     percent: Annotated[int, Parameter(help="Share of the region's traffic to move.")] = 100,
     step: Annotated[int, Parameter(help="Percent to move per step.")] = 10,
-    dry_run: Annotated[bool, Parameter(help="Show the effect on headroom; write nothing.")] = False,
+    dry_run: Annotated[bool, Parameter(help="Show the effect; write nothing.")] = False,
     common: Common = COMMON,
 ) -> int:
-    """Declare a shift; hosts move the traffic in steps while headroom allows."""
+    """Declare a shift; hosts move the traffic in steps while free slots allow."""
 
     async def command(context: CommandContext) -> int:
         document, _ = await context.operations.get_configuration()
@@ -60,7 +60,7 @@
         )
         _check_shift(document, shift)
         if dry_run:
-            await _show_headroom(context, document, shift)
+            await _show_free_slots(context, document, shift)
             return EXIT_DONE
         await context.operations.update_object(
             SHIFTS_KEY,
@@ -72,7 +72,7 @@
     return commands.run(common.settings, common.output, command)
 
 
-async def _show_headroom(
+async def _show_free_slots(
     context: CommandContext, document: config.Configuration, shift: Shift
 ) -> None:
     in_use = await context.fetch_slots_in_use()
@@ -94,7 +94,7 @@
         }
         for region, change in ((shift.from_region, -moved_slots), (shift.to_region, moved_slots))
     ]
-    context.renderer.write_rows(f"headroom of {shift.service}", rows)
+    context.renderer.write_rows(f"free slots of {shift.service}", rows)
 
 
 @app.command(name="list")
--- a/berylchute/shifts.py
+++ b/berylchute/shifts.py
@@ -204,7 +204,7 @@
         ):
             if now_s - progress.since_s < STEP_INTERVAL_S:
                 return None
-            return self._step(shift, -shift.step_percent, "stepped back: target out of headroom")
+            return self._step(shift, -shift.step_percent, "stepped back: target out of free slots")
         if shift.state is ShiftState.DONE:
             return None
         reason = self._shortage_reason(shift, observation)
@@ -225,9 +225,9 @@
             observation.to_free_slots - step_slots
             < observation.to_capacity_slots * STEP_FREE_RATIO_MIN
         ):
-            return "target short of headroom"
+            return "target short of free slots"
         if observation.link_free_ratio < LINK_FREE_RATIO_MIN:
-            return "link short of headroom"
+            return "link short of free units"
         return ""
 
     def _hold(self, shift: Shift, reason: str) -> Shift | None:
--- a/berylchute/upstream.py
+++ b/berylchute/upstream.py
@@ -7,13 +7,13 @@
 from collections.abc import Callable
 from typing import cast
 
-import attrs
 import httptools
 
 from berylchute.answerlimits import AnswerMemory, AnswerMeter
 from berylchute.callers import Header
 from berylchute.exceptions import AnswerInvalid, AnswerLost, NotSent
 from berylchute.types import Clock
+from berylchute.upstreammessages import ServerAnswer, UpstreamRequest
 
 __all__ = ["ConnectionPool", "ServerAnswer", "UpstreamRequest"]
 
@@ -35,33 +35,6 @@
 PARSED_BYTES_MAX = 16_384
 
 
-@attrs.frozen
-class UpstreamRequest:
-    """One encoded request.
-
-    The answer must carry `request_id` in the header `id_header`; an empty id is not checked.
-    `is_head` is true for the method HEAD, whose answer has no body.
-    """
-
-    request_id: bytes
-    id_header: bytes
-    is_head: bool
-    data: bytes
-
-
-@attrs.frozen
-class ServerAnswer:
-    """A complete answer of a backend server; header names keep their case."""
-
-    status: int
-    headers: tuple[Header, ...]
-    body: bytes
-
-    def find_header(self, name: bytes) -> bytes | None:
-        """Return the first value of the header `name`, given in lower case; None if absent."""
-        return next((value for key, value in self.headers if key.lower() == name), None)
-
-
 class _Connection(asyncio.Protocol):
     """One connection; it carries one exchange at a time."""
 
@@ -83,6 +56,7 @@
         self.is_usable = True
         self.idle_until_s = 0.0
         self._idle_timeout_s = IDLE_TIMEOUT_DEFAULT_S
+        self._opened_s = clock.now_s()
         self._reset()
 
     def _reset(self) -> None:
@@ -247,7 +221,10 @@
         request, future = self._request, self._answer
         assert request is not None and future is not None
         answer = ServerAnswer(
-            self._parser.get_status_code(), tuple(self._headers), bytes(self._body)
+            self._parser.get_status_code(),
+            tuple(self._headers),
+            bytes(self._body),
+            self._opened_s,
         )
         if request.request_id:
             answer_id = answer.find_header(request.id_header)
--- /dev/null
+++ b/berylchute/upstreammessages.py
@@ -0,0 +1,38 @@
+"""Define the requests to backend servers and their answers."""
+
+import attrs
+
+from berylchute.callers import Header
+
+__all__ = ["ServerAnswer", "UpstreamRequest"]
+
+
+@attrs.frozen
+class UpstreamRequest:
+    """One encoded request.
+
+    The answer must carry `request_id` in the header `id_header`; an empty id is not checked.
+    `is_head` is true for the method HEAD, whose answer has no body.
+    """
+
+    request_id: bytes
+    id_header: bytes
+    is_head: bool
+    data: bytes
+
+
+@attrs.frozen
+class ServerAnswer:
+    """A complete answer of a backend server; header names keep their case.
+
+    `opened_s` is the time at which its connection was opened.
+    """
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+    opened_s: float = attrs.field(default=0.0, eq=False)
+
+    def find_header(self, name: bytes) -> bytes | None:
+        """Return the first value of the header `name`, given in lower case; None if absent."""
+        return next((value for key, value in self.headers if key.lower() == name), None)
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -8,8 +8,8 @@
 import attrs
 
 from berylchute import messages
-from berylchute.membership import Membership, Outgoing
-from berylchute.messages import MemberRecord, MemberUpdate, Message
+from berylchute.membership import Membership
+from berylchute.messages import MemberRecord, MemberUpdate, Message, Outgoing
 from berylchute.objects import ObjectReplica
 from berylchute.replication import Replication
 from berylchute.types import MemberState, StoredObject
--- a/lab/lending_world.py
+++ b/lab/lending_world.py
@@ -5,10 +5,10 @@
 
 import attrs
 
-from berylchute.borrowing import LenderCandidate, Outgoing
+from berylchute.borrowing import LenderCandidate
 from berylchute.ledger import Ledger
 from berylchute.lending import Lending
-from berylchute.messages import Message
+from berylchute.messages import Message, Outgoing
 from berylchute.types import Position, Reservation, ResourceId, ResourceUnits
 
 __all__ = ["InFlightMessage", "LendingSimulation", "RunningRequest", "SimHost"]
--- a/tests/test_retrybudget.py
+++ b/tests/test_retrybudget.py
@@ -75,3 +75,13 @@
     budget = RetryBudget(BOUNDS, 0.0)
     assert not budget.acquire(1, MEMBER_DISCOVERY_S - 0.1)
     assert budget.acquire(1, MEMBER_DISCOVERY_S + 0.1)
+
+
+def test_a_part_is_reserved_for_returning_callers() -> None:
+    """Guard against a spent budget when a caller returns who would be refused for good."""
+    budget = RetryBudget(RetryBounds(ratio=0.2, burst=0.0, window_s=10.0), 0.0)
+    for number in range(100):
+        budget.record_request(10.0 + 0.01 * number)
+    new_callers = sum(budget.acquire(1, 11.0, is_return=False) for _ in range(50))
+    returning = sum(budget.acquire(1, 11.0, is_return=True) for _ in range(50))
+    assert (new_callers, returning) == (7, 8)
