Treat a server whose requests timed out as restarted unless it reports load

Cause: a server that goes dark and comes back under its id is cold; after time-outs alone it would have got the full rate until its entry changes. Change: after time-outs an answer on a new connection counts as a restart, unless the server reports half of its slots taken: then it was slow.

--- a/berylchute/requesthandler.py
+++ b/berylchute/requesthandler.py
@@ -220,7 +220,7 @@
             if answer.status < 300:
                 server.record_work_time(seconds, now_s)
                 server.work_time.record(seconds, reported)
-        if server.has_restarted(answer.opened_s):
+        if server.may_have_restarted(answer.opened_s):
             self._backends.record_recovery(server, now_s)
         if server.failures:
             self._log.event("server_back", server=server.entry.server_id)
--- a/berylchute/servers.py
+++ b/berylchute/servers.py
@@ -90,7 +90,7 @@
     in_flight_at_report: int = 0
     answered_at_s: float = -math.inf
     failures: int = 0
-    may_have_restarted: bool = False
+    has_lost_connection: bool = False
     failed_at_s: float = 0.0
     work_time: WorkTime = attrs.Factory(WorkTime)
     backoff_until_s: float = 0.0
@@ -143,18 +143,23 @@
         """Record the load that the server reported with an answer."""
         self.reported, self.reported_at_s, self.in_flight_at_report = load, now_s, self.in_flight
 
-    def has_restarted(self, opened_s: float) -> bool:
+    def may_have_restarted(self, opened_s: float) -> bool:
         """Return whether the server may have restarted, given an answer after failures.
 
-        It has not if the connection of the answer was opened before the first failure.
+        It has not if the connection of the answer was opened before the first failure. Nor has it
+        if requests only timed out and it reports many: a restarted server has none at first.
         """
-        return self.may_have_restarted and opened_s >= self.failed_at_s
+        if not self.failures or opened_s < self.failed_at_s:
+            return False
+        if self.has_lost_connection or self.reported is None:
+            return True
+        return 2 * (self.reported.running + self.reported.waiting) < self.reported.slots
 
     def record_success(self, now_s: float) -> None:
         """Record an answer: reset the failure count and end the backoff."""
         self.answered_at_s = now_s
         self.failures = 0
-        self.may_have_restarted = False
+        self.has_lost_connection = False
         self.backoff_until_s = 0.0
 
     def record_failure(self, now_s: float) -> None:
@@ -164,7 +169,7 @@
         if not self.failures:
             self.failed_at_s = now_s
         self.failures += 1
-        self.may_have_restarted = True
+        self.has_lost_connection = True
         self.backoff_until_s = now_s + backoff_s
 
     def record_timeout(self, sent_s: float, now_s: float) -> None:
@@ -173,10 +178,9 @@
         Requests with a shorter timeout than SILENCE_MIN_S say nothing about the server.
         """
         if self.answered_at_s < sent_s and now_s - sent_s >= SILENCE_MIN_S:
-            # A server that was only slow keeps its caches, so that it needs no warm-up.
-            may_have_restarted = self.may_have_restarted
+            has_lost_connection = self.has_lost_connection
             self.record_failure(now_s)
-            self.may_have_restarted = may_have_restarted
+            self.has_lost_connection = has_lost_connection
 
     def is_cold(self, now_s: float) -> bool:
         """Return whether the server is warming up and limited to its cold rate."""
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -251,7 +251,10 @@
     assert server.failures == 0  # long work: the server answered another request meanwhile
     server.record_timeout(sent_s=101.0, now_s=104.0)
     assert server.failures == 1 and server.backoff_until_s > 104.0
-    assert not server.may_have_restarted
+    server.record_load(ReportedLoad(running=4, waiting=2, slots=4), 105.0)
+    assert not server.may_have_restarted(105.0)  # full, so it was only slow
+    server.record_load(ReportedLoad(running=0, waiting=0, slots=4), 105.0)
+    assert server.may_have_restarted(105.0) and not server.may_have_restarted(50.0)
 
 
 def test_reported_load_lasts_as_long_as_the_server_works_on_it() -> None:
