--- a/berylchute/requesthandler.py
+++ b/berylchute/requesthandler.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Callable
+from http import HTTPStatus
 from random import Random
 
 import anyio
@@ -220,11 +221,11 @@
             if answer.status < 300:
                 server.record_work_time(seconds, now_s)
                 server.work_time.record(seconds, reported)
-        if server.may_have_restarted(answer.opened_s):
-            self._backends.record_recovery(server, now_s)
-        if server.failures:
-            self._log.event("server_back", server=server.entry.server_id)
-        server.record_success(now_s)
+        if answer.status == HTTPStatus.GATEWAY_TIMEOUT:
+            # The server was too slow for the deadline: no sign that it serves requests again.
+            self._record_timeout(server, now_s - seconds)
+        else:
+            self._record_success(server, answer, now_s)
         if answer.status == 421:
             server.is_replaced = True
             self._log.event("server_replaced", server=server.entry.server_id)
@@ -347,6 +348,13 @@
         server.record_failure(self._clock.now_s())
         self._log_failure(server, error.code, str(error))
 
+    def _record_success(self, server: Server, answer: ServerAnswer, now_s: float) -> None:
+        if server.may_have_restarted(answer.opened_s):
+            self._backends.record_recovery(server, now_s)
+        if server.failures:
+            self._log.event("server_back", server=server.entry.server_id)
+        server.record_success(now_s)
+
     def _record_timeout(self, server: Server, sent_s: float) -> None:
         """Record that a request reached its deadline at a server."""
         failures = server.failures
--- a/tests/test_requesthandler.py
+++ b/tests/test_requesthandler.py
@@ -25,7 +25,7 @@
 from berylchute.retrybudget import RetryBounds
 from berylchute.routeindex import RouteIndex
 from berylchute.selection import Selector
-from berylchute.servers import Server
+from berylchute.servers import SILENCE_MIN_S, Server
 from berylchute.sharedobjects import (
     CallerLimits,
     RouteKind,
@@ -69,6 +69,7 @@
     async def exchange(self, request: UpstreamRequest) -> ServerAnswer:
         self._world.sent.append(request.data)
         reply = self._world.replies.pop(0)
+        await anyio.sleep(self._world.reply_delay_s)
         if isinstance(reply, float):
             await anyio.sleep(reply)
             reply = OK
@@ -94,6 +95,7 @@
         self.metrics = EdgeMetrics()
         self.retry_ratio = 10.0
         self.warmup_s = 0.0
+        self.reply_delay_s = 0.0
 
     def run(
         self,
@@ -384,3 +386,16 @@
 
     assert _status(harness.run(prepare=fail_before)) == 200
     assert (harness.all_servers[0].cold_until_s > 0.0) is is_cold
+
+
+def test_server_that_answers_only_time_outs_is_left() -> None:
+    # Guard against a slow server that keeps its requests because each of its own 504 ends the
+    # backoff that the unanswered ones began.
+    harness = _Harness(NON_IDEMPOTENT, ServerAnswer(504, (), b""), servers=1)
+    harness.reply_delay_s = SILENCE_MIN_S
+
+    def fail_before(harness: _Harness) -> None:
+        harness.all_servers[0].record_timeout(0.0, SILENCE_MIN_S)
+
+    assert _status(harness.run(prepare=fail_before, timeout_s=3.0)) == 504
+    assert harness.all_servers[0].failures == 2
