Count a time-out as a failure only beyond the usual work time

Cause, by reading: a route with a timeout of 1 s on a service that works 3 s would let every member leave its healthy servers, since each of its requests ends without an answer. Change: a request says something about its server after twice the service's mean work time, at least a second.

--- a/berylchute/servers.py
+++ b/berylchute/servers.py
@@ -31,8 +31,10 @@
 # one lost request in 3 s is enough to detect the end of a longer outage.
 FAILURE_BACKOFF_S = 0.3
 FAILURE_BACKOFF_MAX_S = 3.0
-# Above the usual work time of a server that is not full.
+# A request without an answer says something about its server after this time, and after this
+# multiple of the service's mean work time.
 SILENCE_MIN_S = 1.0
+SILENCE_WORK_RATIO = 2.0
 # Failures beyond this one don't lengthen the backoff.
 BACKOFF_DOUBLINGS_MAX = 8
 
@@ -175,9 +177,10 @@
     def record_timeout(self, sent_s: float, now_s: float) -> None:
         """Count a request without an answer as a failure, unless others were answered since.
 
-        Requests with a shorter timeout than SILENCE_MIN_S say nothing about the server.
+        Requests with a timeout that the server's usual work may exceed say nothing about it.
         """
-        if self.answered_at_s < sent_s and now_s - sent_s >= SILENCE_MIN_S:
+        silence_min_s = max(SILENCE_MIN_S, SILENCE_WORK_RATIO * self.work_time.mean_s)
+        if self.answered_at_s < sent_s and now_s - sent_s >= silence_min_s:
             has_lost_connection = self.has_lost_connection
             self.record_failure(now_s)
             self.has_lost_connection = has_lost_connection
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -267,3 +267,13 @@
     server.record_load(load, clock.now)
     assert server.load(clock.now + 2.0) == pytest.approx(4.0)
     assert server.load(clock.now + 4.0) == 0.0
+
+
+def test_short_timeout_is_no_failure_of_a_server_with_long_work() -> None:
+    """Guard against leaving healthy servers because of one route with a short timeout."""
+    server = make_backends(ManualClock(), entry("i-1")).of_service("s")[0]
+    server.work_time.record(3.0, ReportedLoad(1, 0, 4))
+    server.record_timeout(sent_s=100.0, now_s=103.0)
+    assert server.failures == 0
+    server.record_timeout(sent_s=100.0, now_s=108.0)
+    assert server.failures == 1
