Fail answers with too many headers, and count a hedge's body where it is read

Cause, by reading the change: headers above the limit were left out of an answer that completed within one parsed part; the rest of a hedge's long answer is read by the task of the first attempt, whose meter counted it as overhead, so that answers above 256 KiB broke off. Change: an answer above a limit fails also when it completes; the meter follows the answer to the task that reads it.

--- a/berylchute/exchange.py
+++ b/berylchute/exchange.py
@@ -377,6 +377,8 @@
             meter.body_bytes += len(chunk)
             matcher.receive_body(len(chunk))
             yield chunk
+            # Another task may read the rest, such as that of the first attempt of a hedge.
+            current_meter.set(meter)
         matcher.receive_end()
     except httpcore.RemoteProtocolError as error:
         raise AnswerShort(f"{attempt.server}: {error}") from error
--- a/berylchute/upstream.py
+++ b/berylchute/upstream.py
@@ -220,6 +220,11 @@
     def _complete(self) -> None:
         request, future = self._request, self._answer
         assert request is not None and future is not None
+        excess = self._meter.find_excess()
+        if excess:
+            # Headers above the limit are missing from the answer.
+            self._fail(AnswerInvalid(excess))
+            return
         answer = ServerAnswer(
             self._parser.get_status_code(),
             tuple(self._headers),
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -399,3 +399,26 @@
     harness.run(test)
     value = harness.metrics.registry.get_sample_value("berylchute_hedges_total", {"result": "shed"})
     assert value == 1.0
+
+
+def _very_long_answer(call: Call) -> list[bytes]:
+    whole = answer(call, b"x" * 2_000_000)
+    return [whole[start : start + 65536] for start in range(0, len(whole), 65536)]
+
+
+def test_long_answer_of_a_hedge_streams_whole() -> None:
+    """Guard against a body that counts as overhead when another task reads its rest."""
+    harness = ForwarderHarness(no_answer, _very_long_answer)
+    for _ in range(30):
+        harness.delays.record("k", 0.001)
+        harness.budget.record_first_attempt()
+
+    async def test() -> None:
+        received = await harness.forwarder.forward(make_forwarded_request(HEDGED, _deadline_s()))
+        assert received.remaining_body is not None
+        size = len(received.body)
+        async for chunk in received.remaining_body:
+            size += len(chunk)
+        assert size == 2_000_000
+
+    harness.run(test)
--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -16,7 +16,7 @@
 
 
 def test_repeat_without_the_wait_is_no_return() -> None:
-    """Guard against callers that repeat at once and displace those that wait as told."""
+    """Guard against callers that repeat at once and displace those that keep to Retry-After."""
     detector = ReturnDetector()
     detector.is_return("r", 3000.0, 0.0)
     assert not any(detector.is_return("r", 3000.0 - 20.0 * n, 0.02 * n) for n in range(1, 20))
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -290,3 +290,12 @@
         server.close()
 
     asyncio.run(main())
+
+
+def test_answer_with_too_many_headers_is_invalid() -> None:
+    """Guard against an answer that is passed on without the headers above the limit."""
+    harness = _ConnectionHarness()
+    headers = "".join(f"X-{number}: 1\r\n" for number in range(300))
+    harness.assert_fails(
+        AnswerInvalid, lambda: harness.connection.data_received(_answer(headers=headers))
+    )
