--- a/berylchute/servers.py
+++ b/berylchute/servers.py
@@ -80,7 +80,10 @@
     """A registered server and its state as this process sees it.
 
     Times ending in `_at_s` or `_until_s` are times of the process's clock. `is_replaced` is set
-    when the server is no longer registered or another process runs at its address.
+    when the server is no longer registered or another process runs at its address. `failures`
+    counts those since the last answer, `failed_at_s` is the time of the first of them, and
+    `has_lost_connection` means that one of them was more than a time-out. `work_time` is shared by
+    the servers of a service.
     """
 
     entry: ServerEntry
