Log the limits that servers state, and count sends to such servers

Cause: neither log nor metrics showed which member knew a server's limit when, so members that ignore a limit could not be told from members that each heed it alone. Change: event server_limit when a limit begins, changes or ends, with the member's sends; two metrics. No decision changes.

--- a/berylchute/backends.py
+++ b/berylchute/backends.py
@@ -213,6 +213,10 @@
         for server in self._servers.values():
             server.pool.close_expired()
 
+    def limited_count(self) -> int:
+        """Return the number of servers that state a limit of requests per second."""
+        return sum(server.rate_limit_per_s is not None for server in self._servers.values())
+
     def connections_opened(self) -> int:
         """Return the number of connections opened so far, including to removed servers."""
         return self._opened_to_removed + sum(
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -337,6 +337,7 @@
             requests_in_flight=self._handler.in_flight,
             routes_number=table.number if table else 0,
             servers=len(self._backends),
+            limited_servers=self._backends.limited_count(),
             members=Counter(status.state.value for status in self._node.members.list_members()),
             store_silence_s=now_s - max(feed.last_success_s for feed in self._feeds),
             object_ages_s={
--- a/berylchute/edgemetrics.py
+++ b/berylchute/edgemetrics.py
@@ -26,6 +26,7 @@
     requests_in_flight: int = 0
     routes_number: int = 0
     servers: int = 0
+    limited_servers: int = 0
     members: Mapping[str, int] = attrs.field(factory=dict)
     store_silence_s: float = 0.0
     object_ages_s: Mapping[str, float] = attrs.field(factory=dict)
@@ -88,6 +89,11 @@
             "Backend servers known to this process.",
             state.servers,
         ),
+        GaugeMetricFamily(
+            "berylchute_edge_limited_servers_count",
+            "Backend servers that state a limit of requests per second.",
+            state.limited_servers,
+        ),
         GaugeMetricFamily(
             "berylchute_edge_store_silence_seconds",
             "Time since the store last answered this process.",
@@ -151,6 +157,11 @@
         self.sends = Counter(
             "berylchute_edge_sends_total", "Sends to backend servers.", registry=self.registry
         )
+        self.limited_sends = Counter(
+            "berylchute_edge_limited_sends_total",
+            "Sends to backend servers that state a limit of requests per second.",
+            registry=self.registry,
+        )
         self._request_seconds = Histogram(
             "berylchute_edge_request_seconds",
             "Time from the arrival of a request to the end of its answer.",
--- a/berylchute/headernames.py
+++ b/berylchute/headernames.py
@@ -11,12 +11,14 @@
 
     `server_load` is sent by servers. Its value is the number of running requests, of waiting
     requests and of slots, and optionally the pace: the work time in percent of the usual one. They
-    are separated by commas.
+    are separated by commas. `server_limit` is the number of requests per second that a server
+    accepts from all members together while it sends the header.
     """
 
     request_id: bytes = b"berylchute-request-id"
     deadline_ms: bytes = b"berylchute-deadline-ms"
     expected_server: bytes = b"berylchute-expected-server"
     server_load: bytes = b"berylchute-load"
+    server_limit: bytes = b"berylchute-limit"
     not_run: bytes = b"berylchute-not-run"
     affinity_cookie: bytes = b"berylchute-affinity"
--- a/berylchute/requesthandler.py
+++ b/berylchute/requesthandler.py
@@ -2,7 +2,6 @@
 
 import math
 from collections.abc import Callable
-from http import HTTPStatus
 from random import Random
 
 import anyio
@@ -21,7 +20,8 @@
 from berylchute.returns import ReturnDetector
 from berylchute.routeindex import RouteIndex
 from berylchute.selection import Selection, Selector
-from berylchute.servers import ReportedLoad, Server
+from berylchute.servers import Server
+from berylchute.servertracker import ServerTracker
 from berylchute.sharedobjects import Route, RouteKind
 from berylchute.types import Clock
 from berylchute.upstream import ServerAnswer
@@ -65,6 +65,7 @@
         self._clock = clock
         self._rng = rng
         self._log = log
+        self._tracker = ServerTracker(backends, header_names, clock, log)
         self._metrics = metrics
         self.retry_bounds = retry_bounds
         self._member_count = member_count
@@ -158,7 +159,10 @@
         attempt = _new_attempt(active, server, selection, now_s)
         retry_cause = active.retry_cause
         server.in_flight += 1
+        server.sends += 1
         self._metrics.sends.inc()
+        if server.rate_limit_per_s is not None:
+            self._metrics.limited_sends.inc()
         if self._backends.should_open_spare(server, self._member_count):
             self._background_tasks.start_isolated(server.pool.open_spare_connection)
         try:
@@ -174,7 +178,7 @@
             return self._handle_lost_answer(active, server, error)
         except anyio.get_cancelled_exc_class():
             if not active.pending.has_caller_left:
-                self._record_timeout(server, now_s)
+                self._tracker.record_timeout(server, now_s)
             raise
         finally:
             server.in_flight -= 1
@@ -190,7 +194,7 @@
         """Handle an attempt that was not sent; return whether the request has ended."""
         active.not_sent_count += 1
         active.reason = error.code
-        self._record_failure(server, error)
+        self._tracker.record_failure(server, error)
         if active.not_sent_count > NOT_SENT_MAX:
             self._end_unanswered(active)
             return True
@@ -203,7 +207,7 @@
         active.send_count += 1
         active.reason = error.code
         active.may_have_run = True
-        self._record_failure(server, error)
+        self._tracker.record_failure(server, error)
         if active.route.kind.is_idempotent and active.send_count < active.route.attempts_max:
             active.retry_cause = error.code
             return False
@@ -215,20 +219,7 @@
     ) -> bool:
         """Handle an answer after `seconds`; return whether the request has ended."""
         now_s = self._clock.now_s()
-        reported = ReportedLoad.parse(answer.find_header(self._header_names.server_load))
-        if reported is not None:
-            server.record_load(reported, now_s)
-            if answer.status < 300:
-                server.record_work_time(seconds, now_s)
-                server.work_time.record(seconds, reported)
-        if answer.status == HTTPStatus.GATEWAY_TIMEOUT:
-            # The server was too slow for the deadline: no sign that it serves requests again.
-            self._record_timeout(server, now_s - seconds)
-        else:
-            self._record_success(server, answer, now_s)
-        if answer.status == 421:
-            server.is_replaced = True
-            self._log.event("server_replaced", server=server.entry.server_id)
+        self._tracker.record_answer(server, answer, seconds)
         is_not_run = answer.find_header(self._header_names.not_run) is not None
         if answer.status == 421 or is_not_run:
             active.reason = f"server_refused_{answer.status}"
@@ -344,34 +335,6 @@
         )
         return round(remaining, 1)
 
-    def _record_failure(self, server: Server, error: ExchangeError) -> None:
-        server.record_failure(self._clock.now_s())
-        self._log_failure(server, error.code, str(error))
-
-    def _record_success(self, server: Server, answer: ServerAnswer, now_s: float) -> None:
-        if server.may_have_restarted(answer.opened_s):
-            self._backends.record_recovery(server, now_s)
-        if server.failures:
-            self._log.event("server_back", server=server.entry.server_id)
-        server.record_success(now_s)
-
-    def _record_timeout(self, server: Server, sent_s: float) -> None:
-        """Record that a request reached its deadline at a server."""
-        failures = server.failures
-        server.record_timeout(sent_s, self._clock.now_s())
-        if server.failures > failures:
-            self._log_failure(server, Outcome.TIMED_OUT, "no answer to any request meanwhile")
-
-    def _log_failure(self, server: Server, code: str, reason: str) -> None:
-        self._log.event(
-            "server_failed",
-            server=server.entry.server_id,
-            address=server.entry.address,
-            code=code,
-            reason=reason,
-            failures=server.failures,
-        )
-
     def _is_allowed_zone(self, route: Route, availability_zone: str) -> bool:
         if not route.home_regions:
             return True
--- a/berylchute/servers.py
+++ b/berylchute/servers.py
@@ -7,7 +7,7 @@
 from berylchute.sharedobjects import ServerEntry
 from berylchute.upstream import ConnectionPool
 
-__all__ = ["ReportedLoad", "Server", "WorkTime"]
+__all__ = ["ReportedLoad", "Server", "WorkTime", "parse_rate_limit"]
 
 # Shortest time over which the weight of a reported load falls to zero. Services that work longer,
 # or have a queue, take longer to work off what they reported.
@@ -63,6 +63,15 @@
             return None
 
 
+def parse_rate_limit(value: bytes | None) -> float | None:
+    """Return the requests per second in the value of a limit header, None if there is none."""
+    try:
+        limit_per_s = float(value or b"")
+    except ValueError:
+        return None
+    return limit_per_s if math.isfinite(limit_per_s) and limit_per_s >= 0.0 else None
+
+
 @attrs.define
 class WorkTime:
     """Mean work time of a service's servers without the wait in their queues, 0 if unknown."""
@@ -83,7 +92,8 @@
     when the server is no longer registered or another process runs at its address. `failures`
     counts those since the last answer, `failed_at_s` is the time of the first of them, and
     `has_lost_connection` means that one of them was more than a time-out. `work_time` is shared by
-    the servers of a service.
+    the servers of a service. `rate_limit_per_s` is the limit in the last answer, None if the answer
+    stated none; `sends` counts this process's requests to the server.
     """
 
     entry: ServerEntry
@@ -101,6 +111,8 @@
     backoff_until_s: float = 0.0
     is_replaced: bool = False
     next_cold_send_s: float = 0.0
+    rate_limit_per_s: float | None = None
+    sends: int = 0
     usual_work_s: float = 0.0
 
     def load(self, now_s: float) -> float:
--- /dev/null
+++ b/tests/test_servertracker.py
@@ -0,0 +1,44 @@
+"""Check what the state of a server becomes after an answer or a failure."""
+
+import json
+import os
+
+import pytest
+
+from berylchute.eventlog import EventLog
+from berylchute.headernames import HeaderNames
+from berylchute.servers import parse_rate_limit
+from berylchute.servertracker import ServerTracker
+from berylchute.upstream import ServerAnswer
+from tests.httpfakes import ManualClock
+from tests.test_backends import entry, make_backends
+
+
+def _answer(limit: bytes | None) -> ServerAnswer:
+    headers = () if limit is None else ((b"Berylchute-Limit", limit),)
+    return ServerAnswer(200, headers, b"", 0.0)
+
+
+def test_limit_of_a_server_is_logged_when_it_begins_changes_and_ends() -> None:
+    # Guard against an overloaded server whose limit no log line or metric shows.
+    clock = ManualClock()
+    backends = make_backends(clock, entry("i-1"))
+    (server,) = backends.of_service("s")
+    read, write = os.pipe()
+    log = EventLog(write, "h")
+    tracker = ServerTracker(backends, HeaderNames(), clock, log)
+    for limit in (None, b"13.8", b"13.8", b"9", None, None):
+        tracker.record_answer(server, _answer(limit), 0.1)
+    log.flush()
+    events = [json.loads(line) for line in os.read(read, 65_536).splitlines()]
+    os.close(read)
+    os.close(write)
+    assert [event["limit_per_s"] for event in events] == [13.8, 9.0, None]
+    assert {event["event"] for event in events} == {"server_limit"}
+    assert backends.limited_count() == 0
+
+
+@pytest.mark.parametrize("value", [None, b"", b"x", b"-1", b"nan", b"inf", b"1,2"])
+def test_unreadable_limit_is_no_limit(value: bytes | None) -> None:
+    # Guard against an error or an endless limit from a malformed header.
+    assert parse_rate_limit(value) is None
