--- /dev/null
+++ b/tests/limitedfleet.py
@@ -0,0 +1,181 @@
+"""A simulated fleet of members that send to servers which state limits of requests per second."""
+
+import heapq
+import itertools
+import os
+from collections.abc import Callable, Sequence
+from random import Random
+
+import attrs
+
+from berylchute.backends import Backends
+from berylchute.eventlog import EventLog
+from berylchute.headernames import HeaderNames
+from berylchute.selection import Selector
+from berylchute.servers import Server
+from berylchute.servertracker import ServerTracker
+from berylchute.sharedobjects import CallerLimits, RouteTable, ServerList, ServicePolicy
+from berylchute.types import MemberState, MemberStatus
+from berylchute.upstream import ServerAnswer
+from tests.httpfakes import ManualClock
+from tests.test_backends import entry
+from tests.test_directory import member
+
+ZONE_REGIONS = {"za": "ra", "zb": "ra", "zc": "rb", "zd": "rb"}
+# Region ra has three times as many servers as rb, so half of the keys of rb belong to ra.
+SERVER_ZONES = ("za", "zb", "za", "zb", "za", "zb", "zc", "zd")
+ANSWER_S = 0.15
+WINDOW_S = 4.0
+# What a window may hold: this ratio of what the limit allows, and some requests more.
+LIMIT_RATIO = 1.5
+LIMIT_SLACK = 5.0
+VIEW_PERIOD_S = 0.25
+
+
+class FleetMember:
+    """The parts of one edge process that choose servers and read their answers."""
+
+    def __init__(self, fleet: "Fleet", name: str, zone: str) -> None:
+        self.name, self.zone = name, zone
+        self.started_s = fleet.clock.now
+        # Names of the members that this one regards as gone.
+        self.cut_off: frozenset[str] = frozenset()
+        self._fleet = fleet
+        self.backends = Backends(fleet.clock, zone, ZONE_REGIONS)
+        policy = ServicePolicy("s", 390, warmup_s=3.0, cold_rate_per_s=10.0)
+        self.backends.configure(RouteTable(1, (), (policy,), CallerLimits()))
+        self.backends.update_servers(fleet.server_list)
+        self.selector = Selector(self.backends, lambda _: True)
+        self.tracker = ServerTracker(self.backends, HeaderNames(), fleet.clock, fleet.log)
+
+    def update_view(self) -> None:
+        """Take over what the other members publish."""
+
+    def request(self, key: str) -> None:
+        """Send a caller's request to the selected server, if there is one."""
+        now_s = self._fleet.clock.now
+        selection = self.selector.select("s", key, 0.3, False, lambda _: True, (), now_s)
+        if selection.server is not None:
+            self._send(selection.server)
+
+    def _send(self, server: Server) -> None:
+        server.in_flight += 1
+        answer = self._fleet.receive(server.entry.server_id)
+
+        def respond() -> None:
+            server.in_flight -= 1
+            self.tracker.record_answer(server, answer, ANSWER_S)
+
+        self._fleet.call_later(ANSWER_S, respond)
+
+
+@attrs.define
+class _LimitedServer:
+    limit_per_s: float | None = None
+    stated_at_s: float = 0.0
+    arrivals_s: list[float] = attrs.Factory(list)
+
+
+class Fleet:
+    """Members, servers and callers on a virtual clock."""
+
+    def __init__(self, member_count: int, seed: int) -> None:
+        self.clock = ManualClock(0.0)
+        self.rng = Random(seed)
+        self.server_list = ServerList(
+            tuple(
+                entry(f"i-{number}", availability_zone=zone, slots=9)
+                for number, zone in enumerate(SERVER_ZONES)
+            )
+        )
+        self.servers = {item.server_id: _LimitedServer() for item in self.server_list.entries}
+        self.log = EventLog(os.open(os.devnull, os.O_WRONLY), "h")
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        zones = itertools.cycle(ZONE_REGIONS)
+        self.members = [
+            FleetMember(self, f"m{number}", zone)
+            for number, zone in zip(range(1, member_count + 1), zones, strict=False)
+        ]
+        self._update_views()
+
+    def statuses(self, reader: FleetMember) -> Sequence[MemberStatus]:
+        """Return the member list as `reader` sees it."""
+        return [
+            member(
+                other.name,
+                other.zone,
+                ZONE_REGIONS[other.zone],
+                state=MemberState.GONE if other.name in reader.cut_off else MemberState.LIVE,
+            )
+            for other in self.members
+        ]
+
+    def state_limits(self, limit_per_s: float | None, *server_ids: str) -> None:
+        """Let servers state a limit from now on, or none."""
+        for server_id in server_ids or self.servers:
+            server = self.servers[server_id]
+            server.limit_per_s, server.stated_at_s = limit_per_s, self.clock.now
+
+    def restart(self, number: int) -> None:
+        """Replace a member by a fresh process with the same name."""
+        old = self.members[number]
+        self.members[number] = FleetMember(self, old.name, old.zone)
+
+    def run(self, seconds: float, requests_per_s: float) -> None:
+        """Let callers send requests to random members."""
+        end_s = self.clock.now + seconds
+        next_s = self.clock.now + self.rng.expovariate(requests_per_s)
+        while next_s < end_s:
+            self._advance(next_s)
+            self.rng.choice(self.members).request(str(self.rng.randrange(400)))
+            next_s += self.rng.expovariate(requests_per_s)
+        self._advance(end_s)
+
+    def receive(self, server_id: str) -> ServerAnswer:
+        """Count a request that reaches a server; return the answer."""
+        server = self.servers[server_id]
+        server.arrivals_s.append(self.clock.now)
+        headers = ()
+        if server.limit_per_s is not None:
+            headers = ((b"Berylchute-Limit", b"%.1f" % server.limit_per_s),)
+        return ServerAnswer(200, headers, b"", 0.0)
+
+    def call_later(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Run `action` after `delay_s` of virtual time."""
+        heapq.heappush(self._events, (self.clock.now + delay_s, next(self._numbers), action))
+
+    def busiest_ratio(self) -> float:
+        """Return the most that a window held, as a ratio of what it may hold.
+
+        Windows begin when the first answers with the limit have arrived.
+        """
+        ratios = [0.0]
+        for server in self.servers.values():
+            if server.limit_per_s is None:
+                continue
+            allowed = LIMIT_RATIO * server.limit_per_s * WINDOW_S + LIMIT_SLACK
+            times_s = [t for t in server.arrivals_s if t >= server.stated_at_s + 0.5]
+            for first, start_s in enumerate(times_s):
+                count = sum(
+                    1 for t in itertools.islice(times_s, first, None) if t < start_s + WINDOW_S
+                )
+                ratios.append(count / allowed)
+        return max(ratios)
+
+    def rate_per_s(self, server_id: str, seconds: float) -> float:
+        """Return the mean rate of requests to a server in the last `seconds`."""
+        since_s = self.clock.now - seconds
+        return sum(t >= since_s for t in self.servers[server_id].arrivals_s) / seconds
+
+    def _update_views(self) -> None:
+        for fleet_member in self.members:
+            fleet_member.update_view()
+        self.call_later(VIEW_PERIOD_S, self._update_views)
+
+    def _advance(self, until_s: float) -> None:
+        while self._events and self._events[0][0] <= until_s:
+            at_s, _, action = heapq.heappop(self._events)
+            self.clock.now = at_s
+            action()
+        self.clock.now = until_s
