Keep to the limits that servers state, all members together

Callers saw: servers that stated how many requests a second they accept got up to twice that, so that a server in need could not recover. Cause: the edge program did not read the limit. A limit for all members together also needs what a member cannot see alone: how many others send, and a limit that only others have been told. Change: each member takes a share of a stated limit by the part of its region's keys that belongs to the server's region, and keeps to it with a token bucket. Shares follow from the member list, so they cost no message; members that are gone keep theirs, and a fresh process has none until it knows the members. Members put the limits that they know into their records, at most two for each server. A limit holds until an answer or a report shows its end. Requests without room are refused at once (rate_limited).

--- a/berylchute/backends.py
+++ b/berylchute/backends.py
@@ -1,7 +1,7 @@
 """Track the registered backend servers: their order for a key, and which may receive requests."""
 
 import math
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from hashlib import blake2b
 
 from berylchute.answerlimits import AnswerMemory
@@ -34,7 +34,10 @@
 
 
 class Backends:
-    """The registered servers by service, ordered for an affinity key by rendezvous hashing."""
+    """The registered servers by service, ordered for an affinity key by rendezvous hashing.
+
+    `index_number` increases with each change of the servers or of the drained zones.
+    """
 
     def __init__(
         self,
@@ -48,7 +51,8 @@
         self._own_zone = zone
         self._own_region = (zone_regions or {}).get(zone, "")
         self._zone_regions = zone_regions or {}
-        self._region_shares: dict[str, tuple[RegionShare, ...]] = {}
+        self._region_shares: dict[str, Mapping[str, tuple[RegionShare, ...]]] = {}
+        self.index_number = 0
         self._servers: dict[str, Server] = {}
         self._by_service: dict[str, tuple[Server, ...]] = {}
         self._orders: dict[tuple[str, str, bool], tuple[Server, ...]] = {}
@@ -148,13 +152,20 @@
             key=lambda server: _rendezvous_weight(key, server),
             reverse=True,
         )
-        region = region_of_key(key, self._region_shares.get(service, ()))
+        shares_by_region = self._region_shares.get(service, {})
+        region = region_of_key(key, shares_by_region.get(self._own_region, ()))
         near = [server for server in servers if self._region_of(server) == region]
         far = [server for server in servers if self._region_of(server) != region]
         if is_upload:
             near.sort(key=lambda server: server.entry.availability_zone != self._own_zone)
         return [*near[:LOCAL_SERVERS_FIRST], *far, *near[LOCAL_SERVERS_FIRST:]]
 
+    def region_share(self, server: Server, region: str) -> float:
+        """Return the share (0 to 1) of a region's keys that belong to a server's region."""
+        shares = self._region_shares.get(server.entry.service, {}).get(region, ())
+        server_region = self._region_of(server)
+        return sum(share.share for share in shares if share.region == server_region)
+
     def _region_of(self, server: Server) -> str:
         return self._zone_regions.get(server.entry.availability_zone, "")
 
@@ -217,6 +228,10 @@
         """Return the number of servers that state a limit of requests per second."""
         return sum(server.rate_limit_per_s is not None for server in self._servers.values())
 
+    def all_servers(self) -> Collection[Server]:
+        """Return the registered servers of all services, including draining ones."""
+        return self._servers.values()
+
     def connections_opened(self) -> int:
         """Return the number of connections opened so far, including to removed servers."""
         return self._opened_to_removed + sum(
@@ -245,12 +260,14 @@
             by_service.setdefault(server.entry.service, []).append(server)
         self._by_service = {service: tuple(servers) for service, servers in by_service.items()}
         self._orders.clear()
-        self._region_shares = {
-            service: region_shares(
-                self._own_region, self._zone_regions, self._slots_by_region(servers)
-            )
-            for service, servers in by_service.items()
-        }
+        self.index_number += 1
+        regions = {self._own_region, *self._zone_regions.values()}
+        self._region_shares = {}
+        for service, servers in by_service.items():
+            slots = self._slots_by_region(servers)
+            self._region_shares[service] = {
+                region: region_shares(region, self._zone_regions, slots) for region in regions
+            }
 
     def _slots_by_region(self, servers: Sequence[Server]) -> Mapping[str, float]:
         slots: dict[str, float] = {}
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -27,6 +27,7 @@
 from berylchute.retrybudget import RetryBounds
 from berylchute.routeindex import RouteIndex
 from berylchute.selection import Selector
+from berylchute.serverlimits import ServerLimits
 from berylchute.settings import Settings
 from berylchute.sharedobjects import SHARED_KEYS, RouteTable, ServerList, ZoneDrains, decode_object
 from berylchute.types import MemberStatus, StoredObject
@@ -106,6 +107,7 @@
         )
         self._directory = Directory()
         self._cold_sender_selector = ColdSenderSelector(host)
+        self._server_limits = ServerLimits(host, self._backends, self._clock)
         self._background_tasks = BackgroundTasks()
         self._metrics = EdgeMetrics()
         self._feeds = [
@@ -135,7 +137,7 @@
             header_names=self._settings.header_names,
             routes=self._routes,
             backends=self._backends,
-            selector=Selector(self._backends, self._is_cold_sender),
+            selector=Selector(self._backends, self._is_cold_sender, self._server_limits),
             background_tasks=self._background_tasks,
             clock=self._clock,
             rng=self._rng,
@@ -245,6 +247,8 @@
             members = self._node.members.list_members()
             self._log_members(members)
             self._directory.update(members)
+            self._server_limits.update_members(members)
+            self._node.set_server_limits(self._server_limits.limits_to_report())
             self._backends.close_expired()
             self._handler.prepare_connections()
             self._report_ready()
--- a/berylchute/messages.py
+++ b/berylchute/messages.py
@@ -34,7 +34,8 @@
     """Describe a member, as published by itself; a higher (incarnation, sequence) replaces a lower.
 
     `watching` is set while the member watches the store and the store answers. `capacity` is a
-    weight relative to other members for the traffic that the member can carry.
+    weight relative to other members for the traffic that the member can carry. `server_limits` are
+    the limits that servers stated to the member, in requests per second by server id.
     """
 
     host_id: str
@@ -54,6 +55,7 @@
     free_units: Mapping[str, int]
     watching: bool = False
     capacity: float = 1.0
+    server_limits: Mapping[str, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/berylchute/node.py
+++ b/berylchute/node.py
@@ -245,6 +245,11 @@
         """Set whether this process watches the store and the store answers."""
         self._update_record(attrs.evolve(self.record, watching=is_watching))
 
+    def set_server_limits(self, limits_per_s: Mapping[str, float]) -> None:
+        """Set the limits of servers that this process reports to the other members."""
+        if limits_per_s != self.record.server_limits:
+            self._update_record(attrs.evolve(self.record, server_limits=dict(limits_per_s)))
+
     def set_ready(self, ready: bool) -> None:
         """Set whether callers may be routed to this process."""
         self._update_record(attrs.evolve(self.record, ready=ready))
--- a/berylchute/requesthandler.py
+++ b/berylchute/requesthandler.py
@@ -159,7 +159,7 @@
         attempt = _new_attempt(active, server, selection, now_s)
         retry_cause = active.retry_cause
         server.in_flight += 1
-        server.sends += 1
+        self._selector.record_send(server, now_s)
         self._metrics.sends.inc()
         if server.rate_limit_per_s is not None:
             self._metrics.limited_sends.inc()
--- a/berylchute/roster.py
+++ b/berylchute/roster.py
@@ -82,6 +82,7 @@
         "owner_epoch",
         "http_url",
         "peer_address",
+        "server_limits",
     )
     return any(getattr(old, name) != getattr(new, name) for name in names)
 
--- a/berylchute/selection.py
+++ b/berylchute/selection.py
@@ -1,11 +1,13 @@
 """Select the backend server for a request by affinity, bounded by load."""
 
+import math
 from collections.abc import Callable, Collection
 from enum import StrEnum
 
 import attrs
 
 from berylchute.backends import Backends
+from berylchute.serverlimits import ServerLimits
 from berylchute.servers import Server
 
 __all__ = ["NoServerReason", "Selection", "Selector"]
@@ -22,6 +24,10 @@
 # Ratio of requests to slots below which a server substitutes for a slow one: servers slow down when
 # nearly all of their slots are taken.
 SUBSTITUTE_LOAD_RATIO = 0.8
+# Ratio of requests to slots below which a further server substitutes for one that its stated limit
+# keeps out. It is low, because the further server holds no objects of the key, and would meet more
+# objects than it can keep.
+LIMIT_SUBSTITUTE_LOAD_RATIO = 0.15
 
 
 class NoServerReason(StrEnum):
@@ -29,6 +35,7 @@
 
     NO_SERVER = "no_server"
     ALL_FULL = "all_full"
+    RATE_LIMITED = "rate_limited"
 
 
 @attrs.frozen
@@ -53,9 +60,12 @@
     `is_cold_sender` takes the id of a cold server and returns whether this member may send to it.
     """
 
-    def __init__(self, backends: Backends, is_cold_sender: Callable[[str], bool]) -> None:
+    def __init__(
+        self, backends: Backends, is_cold_sender: Callable[[str], bool], limits: ServerLimits
+    ) -> None:
         self._backends = backends
         self._is_cold_sender = is_cold_sender
+        self._limits = limits
 
     def select(
         self,
@@ -71,14 +81,15 @@
     ) -> Selection:
         """Return the first of a key's preferred servers that is not full.
 
-        Servers in `tried_ids` and in zones for which `is_allowed_zone` is false are skipped. A
-        server that is likely to exceed the latency objective `goal_s` is selected only if the
-        other preferred one is too loaded to substitute for it. A caller that returns after a
-        refusal (`is_return`) may be sent to a server with a longer queue.
+        Servers in `tried_ids`, in zones for which `is_allowed_zone` is false, and those that accept
+        no further request of this member for now are skipped. A server that is likely to exceed the
+        latency objective `goal_s` is selected only if the other preferred one is too loaded to
+        substitute for it. A caller that returns after a refusal (`is_return`) may be sent to a
+        server with a longer queue.
         """
         full_ratio = RETURN_FULL_LOAD_RATIO if is_return else FULL_LOAD_RATIO
-        considered = 0
-        least_load = 0.0
+        considered = limited_count = 0
+        least_load = math.inf
         late_selection: Selection | None = None
         for rank, server in enumerate(
             self._backends.preference_order(service, key, is_upload=is_upload)
@@ -89,6 +100,13 @@
                 continue
             if not is_allowed_zone(server.entry.availability_zone):
                 continue
+            if not self._limits.may_send(server, now_s, is_return=is_return):
+                limited_count += 1
+                continue
+            if considered + limited_count >= PREFERRED_SERVERS:
+                if server.bucket is not None:
+                    continue  # its limit is for the keys that it holds
+                full_ratio = LIMIT_SUBSTITUTE_LOAD_RATIO
             if server.is_cold(now_s) and not self._backends.acquire_cold_send(server, now_s):
                 continue
             considered += 1
@@ -101,13 +119,20 @@
                     continue
                 if late_selection is None or load < SUBSTITUTE_LOAD_RATIO * server.entry.slots:
                     return selection
-            least_load = load if considered == 1 else min(least_load, load)
+            least_load = min(least_load, load)
         if late_selection is not None:
             return late_selection
+        if limited_count:
+            return Selection(None, NoServerReason.RATE_LIMITED)
         if considered == 0:
             return Selection(None, NoServerReason.NO_SERVER)
         return Selection(None, NoServerReason.ALL_FULL, least_load)
 
+    def record_send(self, server: Server, now_s: float) -> None:
+        """Count a request that is sent to a selected server."""
+        server.sends += 1
+        self._limits.record_send(server, now_s)
+
     def _may_use(self, server: Server, now_s: float) -> bool:
         if not self._backends.may_receive(server) or now_s < server.backoff_until_s:
             return False
--- a/berylchute/servers.py
+++ b/berylchute/servers.py
@@ -5,6 +5,7 @@
 import attrs
 
 from berylchute.sharedobjects import ServerEntry
+from berylchute.tokenbucket import TokenBucket
 from berylchute.upstream import ConnectionPool
 
 __all__ = ["ReportedLoad", "Server", "WorkTime", "parse_rate_limit"]
@@ -92,8 +93,10 @@
     when the server is no longer registered or another process runs at its address. `failures`
     counts those since the last answer, `failed_at_s` is the time of the first of them, and
     `has_lost_connection` means that one of them was more than a time-out. `work_time` is shared by
-    the servers of a service. `rate_limit_per_s` is the limit in the last answer, None if the answer
-    stated none; `sends` counts this process's requests to the server.
+    the servers of a service. `rate_limit_per_s` is the limit that the last answer, received at
+    `rate_limit_at_s`, stated, else None; `limit_ended_at_s` is the time of the first answer without
+    it. `bucket` limits this process to its share of the limit. `sends` counts this process's
+    requests to the server, the last one at `sent_at_s`.
     """
 
     entry: ServerEntry
@@ -112,7 +115,11 @@
     is_replaced: bool = False
     next_cold_send_s: float = 0.0
     rate_limit_per_s: float | None = None
+    rate_limit_at_s: float = -math.inf
+    limit_ended_at_s: float = -math.inf
+    bucket: TokenBucket | None = None
     sends: int = 0
+    sent_at_s: float = -math.inf
     usual_work_s: float = 0.0
 
     def load(self, now_s: float) -> float:
--- a/berylchute/servertracker.py
+++ b/berylchute/servertracker.py
@@ -34,7 +34,8 @@
             if answer.status < 300:
                 server.record_work_time(seconds, now_s)
                 server.work_time.record(seconds, reported)
-        self._record_rate_limit(server, answer)
+        if answer.status != HTTPStatus.MISDIRECTED_REQUEST:
+            self._record_rate_limit(server, answer, now_s - seconds)
         if answer.status == HTTPStatus.GATEWAY_TIMEOUT:
             # The server was too slow for the deadline: no sign that it serves requests again.
             self.record_timeout(server, now_s - seconds)
@@ -63,10 +64,16 @@
             self._log.event("server_back", server=server.entry.server_id)
         server.record_success(now_s)
 
-    def _record_rate_limit(self, server: Server, answer: ServerAnswer) -> None:
+    def _record_rate_limit(self, server: Server, answer: ServerAnswer, sent_s: float) -> None:
         limit_per_s = parse_rate_limit(answer.find_header(self._header_names.server_limit))
+        is_limited = server.rate_limit_per_s is not None
+        if limit_per_s is None and is_limited and sent_s < server.rate_limit_at_s:
+            return  # the server may have written this answer before the limit began
+        server.rate_limit_at_s = self._clock.now_s()
         if limit_per_s == server.rate_limit_per_s:
             return
+        if limit_per_s is None:
+            server.limit_ended_at_s = server.rate_limit_at_s
         server.rate_limit_per_s = limit_per_s
         self._log.event(
             "server_limit",
--- a/tests/limitedfleet.py
+++ b/tests/limitedfleet.py
@@ -3,7 +3,7 @@
 import heapq
 import itertools
 import os
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from random import Random
 
 import attrs
@@ -12,6 +12,7 @@
 from berylchute.eventlog import EventLog
 from berylchute.headernames import HeaderNames
 from berylchute.selection import Selector
+from berylchute.serverlimits import ServerLimits
 from berylchute.servers import Server
 from berylchute.servertracker import ServerTracker
 from berylchute.sharedobjects import CallerLimits, RouteTable, ServerList, ServicePolicy
@@ -30,6 +31,8 @@
 LIMIT_RATIO = 1.5
 LIMIT_SLACK = 5.0
 VIEW_PERIOD_S = 0.25
+JOIN_S = 2.0
+LEARNED_AFTER_S = 0.5
 
 
 class FleetMember:
@@ -38,6 +41,7 @@
     def __init__(self, fleet: "Fleet", name: str, zone: str) -> None:
         self.name, self.zone = name, zone
         self.started_s = fleet.clock.now
+        self.published: Mapping[str, float] = {}
         # Names of the members that this one regards as gone.
         self.cut_off: frozenset[str] = frozenset()
         self._fleet = fleet
@@ -45,21 +49,27 @@
         policy = ServicePolicy("s", 390, warmup_s=3.0, cold_rate_per_s=10.0)
         self.backends.configure(RouteTable(1, (), (policy,), CallerLimits()))
         self.backends.update_servers(fleet.server_list)
-        self.selector = Selector(self.backends, lambda _: True)
+        self.limits = ServerLimits(name, self.backends, fleet.clock)
+        self.selector = Selector(self.backends, lambda _: True, self.limits)
         self.tracker = ServerTracker(self.backends, HeaderNames(), fleet.clock, fleet.log)
 
     def update_view(self) -> None:
-        """Take over what the other members publish."""
+        """Take over what the other members publish, and publish the own limits."""
+        self.limits.update_members(self._fleet.statuses(self))
+        self.published = self.limits.limits_to_report()
 
-    def request(self, key: str) -> None:
+    def request(self, key: str, *, is_return: bool = False) -> None:
         """Send a caller's request to the selected server, if there is one."""
         now_s = self._fleet.clock.now
-        selection = self.selector.select("s", key, 0.3, False, lambda _: True, (), now_s)
+        selection = self.selector.select(
+            "s", key, 0.3, False, lambda _: True, (), now_s, is_return=is_return
+        )
         if selection.server is not None:
             self._send(selection.server)
 
     def _send(self, server: Server) -> None:
         server.in_flight += 1
+        self.selector.record_send(server, self._fleet.clock.now)
         answer = self._fleet.receive(server.entry.server_id)
 
         def respond() -> None:
@@ -100,15 +110,12 @@
         self._update_views()
 
     def statuses(self, reader: FleetMember) -> Sequence[MemberStatus]:
-        """Return the member list as `reader` sees it."""
+        """Return the member list as `reader` sees it: a fresh process knows only itself."""
+        if reader.started_s and self.clock.now - reader.started_s < JOIN_S:
+            return [self._published[reader.name]]
         return [
-            member(
-                other.name,
-                other.zone,
-                ZONE_REGIONS[other.zone],
-                state=MemberState.GONE if other.name in reader.cut_off else MemberState.LIVE,
-            )
-            for other in self.members
+            attrs.evolve(status, state=MemberState.GONE) if name in reader.cut_off else status
+            for name, status in self._published.items()
         ]
 
     def state_limits(self, limit_per_s: float | None, *server_ids: str) -> None:
@@ -122,13 +129,13 @@
         old = self.members[number]
         self.members[number] = FleetMember(self, old.name, old.zone)
 
-    def run(self, seconds: float, requests_per_s: float) -> None:
-        """Let callers send requests to random members."""
+    def run(self, seconds: float, requests_per_s: float, *, is_return: bool = False) -> None:
+        """Let callers send requests to random members, new or (`is_return`) refused before."""
         end_s = self.clock.now + seconds
         next_s = self.clock.now + self.rng.expovariate(requests_per_s)
         while next_s < end_s:
             self._advance(next_s)
-            self.rng.choice(self.members).request(str(self.rng.randrange(400)))
+            self.rng.choice(self.members).request(str(self.rng.randrange(400)), is_return=is_return)
             next_s += self.rng.expovariate(requests_per_s)
         self._advance(end_s)
 
@@ -148,14 +155,14 @@
     def busiest_ratio(self) -> float:
         """Return the most that a window held, as a ratio of what it may hold.
 
-        Windows begin when the first answers with the limit have arrived.
+        All members count, from the time on by which they should have learned of the limit.
         """
         ratios = [0.0]
         for server in self.servers.values():
             if server.limit_per_s is None:
                 continue
             allowed = LIMIT_RATIO * server.limit_per_s * WINDOW_S + LIMIT_SLACK
-            times_s = [t for t in server.arrivals_s if t >= server.stated_at_s + 0.5]
+            times_s = [t for t in server.arrivals_s if t >= server.stated_at_s + LEARNED_AFTER_S]
             for first, start_s in enumerate(times_s):
                 count = sum(
                     1 for t in itertools.islice(times_s, first, None) if t < start_s + WINDOW_S
@@ -169,6 +176,12 @@
         return sum(t >= since_s for t in self.servers[server_id].arrivals_s) / seconds
 
     def _update_views(self) -> None:
+        self._published = {
+            other.name: member(
+                other.name, other.zone, ZONE_REGIONS[other.zone], server_limits=other.published
+            )
+            for other in self.members
+        }
         for fleet_member in self.members:
             fleet_member.update_view()
         self.call_later(VIEW_PERIOD_S, self._update_views)
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -4,6 +4,8 @@
 
 from berylchute import messages
 from berylchute.exceptions import PeerError
+from berylchute.limitreports import NO_LIMIT
+from tests.test_directory import member
 
 
 def test_message_survives_round_trip() -> None:
@@ -40,3 +42,10 @@
         messages.decode([name, body[:-4]])
     with pytest.raises(PeerError):
         messages.decode([])
+
+
+def test_limits_of_servers_and_their_ends_are_sent_unchanged() -> None:
+    """Guard against a reported end of a limit that the encoding can't express."""
+    status = member("m1", "za", "ra", server_limits={"i-1": 13.8, "i-2": NO_LIMIT})
+    message = messages.Heartbeat(status.record, {})
+    assert messages.decode(messages.encode(message)) == message
--- a/tests/test_requesthandler.py
+++ b/tests/test_requesthandler.py
@@ -25,6 +25,7 @@
 from berylchute.retrybudget import RetryBounds
 from berylchute.routeindex import RouteIndex
 from berylchute.selection import Selector
+from berylchute.serverlimits import ServerLimits
 from berylchute.servers import SILENCE_MIN_S, Server
 from berylchute.sharedobjects import (
     CallerLimits,
@@ -163,7 +164,7 @@
             header_names=HeaderNames(),
             routes=routes,
             backends=backends,
-            selector=Selector(backends, lambda _: True),
+            selector=Selector(backends, lambda _: True, ServerLimits("m1", backends, clock)),
             background_tasks=background_tasks,
             clock=clock,
             rng=Random(1),
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -11,6 +11,7 @@
     Selection,
     Selector,
 )
+from berylchute.serverlimits import ServerLimits
 from berylchute.servers import ReportedLoad, Server
 from tests.httpfakes import ManualClock
 from tests.test_backends import entry, make_backends
@@ -20,7 +21,9 @@
     def __init__(self, *names: str, is_cold_sender: Callable[[str], bool] = lambda _: True) -> None:
         self.clock = ManualClock()
         self.backends: Backends = make_backends(self.clock, *map(entry, names))
-        self.selector = Selector(self.backends, is_cold_sender)
+        self.selector = Selector(
+            self.backends, is_cold_sender, ServerLimits("m1", self.backends, self.clock)
+        )
         self.order = list(self.backends.preference_order("s", "k"))
 
     def select(self, *tried: Server, goal_s: float = 0.3, is_return: bool = False) -> Selection:
@@ -109,3 +112,16 @@
     for server in harness.order:
         server.in_flight = math.ceil(RETURN_FULL_LOAD_RATIO * server.entry.slots)
     assert harness.select(is_return=True).no_server_reason is NoServerReason.ALL_FULL
+
+
+def test_request_that_limits_keep_out_is_refused_at_once_unless_a_server_is_idle() -> None:
+    # Guard against requests that move from limited servers to all others and slow them down, and
+    # against refusals while other servers have nothing to do.
+    harness = _Harness("i-1", "i-2", "i-3")
+    for server in harness.order[:2]:
+        server.rate_limit_per_s = 5.0
+        server.rate_limit_at_s = harness.clock.now
+    third = harness.order[2]
+    assert harness.select().server is third
+    third.in_flight = 1
+    assert harness.select().no_server_reason is NoServerReason.RATE_LIMITED
--- a/tests/test_serverlimits.py
+++ b/tests/test_serverlimits.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from berylchute.retrybudget import MEMBER_DISCOVERY_S
 from tests.limitedfleet import Fleet
 
 REQUESTS_PER_S = 240.0
@@ -43,6 +44,27 @@
     assert fleet.busiest_ratio() <= 1.0
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("limit_per_s", [0.0, 2.0, 12.0])
+def test_crowd_after_a_long_silence_exceeds_no_limit(limit_per_s: float, seed: int) -> None:
+    # Guard against limits that members forget while no request is sent to the server.
+    fleet = _limited_fleet(61, seed, limit_per_s)
+    fleet.run(4.0, REQUESTS_PER_S)
+    fleet.run(25.0, 0.01)
+    fleet.run(6.0, 4 * REQUESTS_PER_S)
+    assert fleet.busiest_ratio() <= 1.0
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_crowd_of_returning_callers_exceeds_no_high_limit(seed: int) -> None:
+    # Guard against advances to returning callers that add up to more than the window may hold.
+    fleet = _limited_fleet(61, seed, limit_per_s=60.0)
+    fleet.run(4.0, REQUESTS_PER_S)
+    fleet.run(3.0, 1.0)
+    fleet.run(6.0, 40 * REQUESTS_PER_S, is_return=True)
+    assert fleet.busiest_ratio() <= 1.0
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_restarted_members_exceed_no_limit(seed: int) -> None:
     # Guard against fresh processes that know neither the limit nor the other members.
@@ -65,3 +87,32 @@
         member.cut_off = frozenset(names[6:] if number < 6 else names[:6])
     fleet.run(12.0, REQUESTS_PER_S)
     assert fleet.busiest_ratio() <= 1.0
+
+
+@pytest.mark.parametrize("member_count", [11, 61])
+def test_limited_servers_get_half_of_their_limit_or_more(member_count: int) -> None:
+    # Guard against requests that are refused while limited servers accept more.
+    fleet = _limited_fleet(member_count, seed=1)
+    fleet.run(12.0, REQUESTS_PER_S)
+    assert fleet.rate_per_s("i-0", 8.0) >= 0.5 * 12.0
+
+
+def test_requests_return_to_a_server_after_its_limit_has_ended() -> None:
+    # Guard against members that hold requests back after the answers state no limit any more.
+    fleet = _limited_fleet(61, seed=1)
+    before = fleet.rate_per_s("i-0", 6.0)
+    fleet.run(8.0, REQUESTS_PER_S)
+    fleet.state_limits(None)
+    fleet.run(12.0, REQUESTS_PER_S)
+    assert fleet.rate_per_s("i-0", 3.0) >= 0.7 * before
+
+
+def test_fresh_process_sends_nothing_to_limited_servers_until_it_knows_the_members() -> None:
+    # Guard against a fresh process that takes a whole limit as its own share.
+    fleet = _limited_fleet(11, seed=1)
+    fleet.run(4.0, REQUESTS_PER_S)
+    fleet.restart(0)
+    fresh = fleet.members[0]
+    fleet.run(MEMBER_DISCOVERY_S - 0.5, REQUESTS_PER_S)
+    limited = [server for server in fresh.backends.of_service("s") if server.bucket is not None]
+    assert limited and all(server.bucket and server.bucket.tokens <= 0.0 for server in limited)
--- a/tests/test_servertracker.py
+++ b/tests/test_servertracker.py
@@ -28,6 +28,7 @@
     log = EventLog(write, "h")
     tracker = ServerTracker(backends, HeaderNames(), clock, log)
     for limit in (None, b"13.8", b"13.8", b"9", None, None):
+        clock.now += 0.2
         tracker.record_answer(server, _answer(limit), 0.1)
     log.flush()
     events = [json.loads(line) for line in os.read(read, 65_536).splitlines()]
@@ -36,6 +37,22 @@
     assert [event["limit_per_s"] for event in events] == [13.8, 9.0, None]
     assert {event["event"] for event in events} == {"server_limit"}
     assert backends.limited_count() == 0
+    assert server.limit_ended_at_s == pytest.approx(clock.now - 0.2)
+
+
+def test_slow_answer_from_before_a_limit_does_not_end_it() -> None:
+    # Guard against a burst after an answer that a server wrote before it stated a limit.
+    clock = ManualClock()
+    backends = make_backends(clock, entry("i-1"))
+    (server,) = backends.of_service("s")
+    log = EventLog(os.open(os.devnull, os.O_WRONLY), "h")
+    tracker = ServerTracker(backends, HeaderNames(), clock, log)
+    tracker.record_answer(server, _answer(b"9"), 0.1)
+    clock.now += 0.5
+    tracker.record_answer(server, _answer(None), 1.0)
+    assert server.rate_limit_per_s == 9.0
+    tracker.record_answer(server, _answer(None), 0.1)
+    assert server.rate_limit_per_s is None
 
 
 @pytest.mark.parametrize("value", [None, b"", b"x", b"-1", b"nan", b"inf", b"1,2"])
