Send requests without an id on new connections only

Report by other operators: a server wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran (REFUSED), or these ran at a second server (TWICE). Cause here: the edge program tells a repeated answer by its request id. For a request without an id nothing was checked, so a repeated refusal was taken for its answer. Requests with an id were never affected: an answer with another id is skipped, and one without an id makes the outcome unknown (502). Change: requests without an id get a new connection. On the users' platform, servers refuse such requests anyway. Evidence: test_request_without_an_id_gets_a_new_connection failed before. The new tests with repeated refusals for requests with ids passed before, on the edge program (in one piece and byte by byte, followed by the answer or by the end) and on the entry program, which has an id for each attempt.

The same commit adds tests for a second report: servers that stop in the middle of an answer's head.

--- a/berylchute/upstream.py
+++ b/berylchute/upstream.py
@@ -288,8 +288,13 @@
         self.last_connect_s: float | None = None
 
     async def exchange(self, request: UpstreamRequest) -> ServerAnswer:
-        """Send a request on an idle or new connection; raise NotSent, AnswerLost, AnswerInvalid."""
-        connection = self._acquire_idle() or await self._connect()
+        """Send a request on an idle or new connection; raise NotSent, AnswerLost, AnswerInvalid.
+
+        A request without an id gets a new connection: nothing else tells its answer from a repeat
+        of an earlier one.
+        """
+        idle = self._acquire_idle() if request.request_id else None
+        connection = idle or await self._connect()
         answer = await connection.exchange(request)
         if connection.is_usable:
             self._idle.append(connection)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,5 +1,10 @@
 """Check that a caller only receives the complete answer to its own request."""
 
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import httpcore
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -10,8 +15,16 @@
     AnswerMatcher,
     AnswerShort,
     AnswerUnframed,
+    Attempt,
+    HttpExchanger,
+    MatchedAnswer,
     MatchState,
+    ServerTarget,
 )
+from berylchute.node import MonotonicClock
+from berylchute.responses import read_response
+from berylchute.serverstreams import StreamBackend
+from berylchute.types import AttemptState
 
 ids = st.sampled_from([b"a-1.1", b"a-1.2", b"b-1.1"])
 events = st.lists(
@@ -93,3 +106,72 @@
     matcher.receive_body(4)
     with pytest.raises(AnswerShort):
         matcher.receive_end()
+
+
+@asynccontextmanager
+async def _scripted_server(*replies: bytes, is_closing: bool = False) -> AsyncIterator[int]:
+    """Write one reply to each request on a connection, then close it if `is_closing`."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        for reply in replies:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(reply)
+        if not is_closing:
+            await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    try:
+        yield server.sockets[0].getsockname()[1]
+    finally:
+        server.close()
+
+
+def _reply(attempt_id: str, status: int = 200, headers: str = "") -> bytes:
+    head = f"HTTP/1.1 {status} X\r\nBerylchute-Request-Id: {attempt_id}\r\n{headers}"
+    return f"{head}Content-Length: 2\r\n\r\nok".encode()
+
+
+async def _send(exchanger: HttpExchanger, port: int, attempt: Attempt) -> MatchedAnswer:
+    target = ServerTarget("s", b"127.0.0.1", port, 1)
+    headers = [(b"Host", b"s"), (b"Berylchute-Request-Id", attempt.attempt_id.encode())]
+    return await exchanger.send_request(target, attempt, b"GET", b"/", headers, b"")
+
+
+def test_refusal_written_again_does_not_refuse_the_next_request() -> None:
+    """Guard against "not run" for a request that runs, from a repeat of an earlier refusal."""
+
+    async def main() -> None:
+        refusal = _reply("a-1.1", 503, "Berylchute-Not-Run: 1\r\n")
+        async with _scripted_server(refusal, refusal + _reply("a-1.2")) as port:
+            exchanger = HttpExchanger(MonotonicClock())
+            assert (await _send(exchanger, port, Attempt("a-1.1", "s"))).is_not_run
+            attempt = Attempt("a-1.2", "s")
+            with pytest.raises(ExchangeError):
+                await _send(exchanger, port, attempt)
+            assert attempt.state is AttemptState.UNKNOWN
+            await exchanger.aclose()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("framing", ["Content-Length: 0", "Transfer-Encoding: chunked", "X: y"])
+def test_answer_that_ends_within_its_head_is_an_error(framing: str) -> None:
+    """Guard against a 200 with an empty body after a server stopped in the middle of its head."""
+    head = f"HTTP/1.1 200 OK\r\nBerylchute-Request-Id: id1\r\n{framing}\r\n\r".encode()
+
+    async def main() -> None:
+        for length in range(len(head) + 1):
+            async with _scripted_server(head[:length], is_closing=True) as port:
+                exchanger = HttpExchanger(MonotonicClock())
+                attempt = Attempt("id1", "s")
+                with pytest.raises(ExchangeError):
+                    await _send(exchanger, port, attempt)
+                assert attempt.state is AttemptState.UNKNOWN
+                await exchanger.aclose()
+                pool = httpcore.AsyncConnectionPool(network_backend=StreamBackend())
+                with pytest.raises(httpcore.RemoteProtocolError):
+                    await read_response(pool, "GET", f"http://127.0.0.1:{port}/", timeout_s=5.0)
+                await pool.aclose()
+
+    asyncio.run(main())
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 
+import attrs
 import pytest
 
 from berylchute.answerlimits import AnswerMemory
@@ -66,6 +67,32 @@
     assert not harness.connection.is_usable
 
 
+@pytest.mark.parametrize("is_split", [False, True])
+def test_refusal_written_again_does_not_refuse_the_next_request(is_split: bool) -> None:
+    """Guard against "not run" for a request that runs, from a repeat of an earlier refusal."""
+    harness = _ConnectionHarness()
+    refusal = b"HTTP/1.1 503 Full\r\nBerylchute-Request-Id: id0\r\nBerylchute-Not-Run: 1\r\n"
+    stale = refusal + b"Content-Length: 4\r\n\r\nfull"
+
+    def deliver() -> None:
+        if is_split:
+            for start in range(len(stale)):
+                harness.connection.data_received(stale[start : start + 1])
+            harness.connection.data_received(_answer())
+        else:
+            harness.connection.data_received(stale + _answer())
+
+    answer = harness.run(deliver)
+    assert (answer.status, answer.body) == (200, b"abc")
+    harness = _ConnectionHarness()
+
+    def close() -> None:
+        harness.connection.data_received(stale)
+        harness.connection.connection_lost(None)
+
+    harness.assert_fails(AnswerLost, close)
+
+
 def test_bytes_after_the_answer_close_the_connection() -> None:
     """Guard against an extra answer being returned for the next request on the connection."""
     harness = _ConnectionHarness()
@@ -108,6 +135,41 @@
     harness.assert_fails(AnswerLost, cut)
 
 
+_HEADS = (
+    _answer(b"")[:-1],
+    b"HTTP/1.1 200 OK\r\nBerylchute-Request-Id: id1\r\nConnection: close\r\n\r",
+    b"HTTP/1.1 200 OK\r\nBerylchute-Request-Id: id1\r\nTransfer-Encoding: chunked\r\n\r",
+)
+_EARLIER_BYTES = (
+    b"",
+    b"HTTP/1.1 100 Continue\r\n\r\n",
+    _answer(b"old", "id0"),
+)
+
+
+@pytest.mark.parametrize("is_head", [False, True])
+@pytest.mark.parametrize("earlier", _EARLIER_BYTES)
+@pytest.mark.parametrize("head", _HEADS)
+def test_answer_that_ends_within_its_head_is_lost(
+    head: bytes, earlier: bytes, is_head: bool
+) -> None:
+    """Guard against a 200 with an empty body after a server stopped in the middle of its head."""
+    for length in range(len(head) + 1):
+        for request_id in (b"id1", b""):
+            if earlier.startswith(b"HTTP/1.1 200") and not request_id:
+                continue  # such a request has a connection without earlier requests
+            harness = _ConnectionHarness()
+            request = attrs.evolve(REQUEST, request_id=request_id, is_head=is_head)
+
+            def cut(harness: _ConnectionHarness = harness, length: int = length) -> None:
+                harness.connection.data_received(earlier + head[:length])
+                harness.connection.connection_lost(None)
+
+            with pytest.raises(ExchangeError):
+                harness.run(cut, request)
+            assert not harness.connection.is_usable
+
+
 @pytest.mark.parametrize(
     "data", [b"nonsense\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"]
 )
@@ -215,6 +277,20 @@
     asyncio.run(main())
 
 
+def test_request_without_an_id_gets_a_new_connection() -> None:
+    """Guard against a repeat of an earlier refusal that is taken for the answer to a request."""
+
+    async def main() -> None:
+        server, address = await _listen()
+        pool = ConnectionPool(address, ManualClock(), 4)
+        await pool.exchange(REQUEST)
+        await pool.exchange(attrs.evolve(REQUEST, request_id=b""))
+        assert pool.connections_opened == 2
+        server.close()
+
+    asyncio.run(main())
+
+
 def test_no_spare_is_needed_beside_two_idle_connections() -> None:
     """Guard against too few or too many spare connections."""
 
