Answer pipelined requests before a stop closes their connection

Callers saw: in a planned stop, a connection with several requests in flight was closed after the first answer; the others had been passed on to servers and got no answer (LOST), and callers send them again. Cause: while stopping, each answer was the last one of its connection. Change: the answer to the last request in flight closes the connection. The first request that arrives during the stop is the last one that is read. Evidence: test_stop_answers_pipelined_requests_before_it_closes_their_connection failed before.

--- a/berylchute/callers.py
+++ b/berylchute/callers.py
@@ -252,7 +252,7 @@
         self._chunk_bytes = 0
         if self._is_closing:
             return
-        keep_alive = self._parser.should_keep_alive()
+        keep_alive = self._parser.should_keep_alive() and not self._server.is_closing
         pending = PendingRequest(self, self._make_request(), keep_alive)
         self._pending.append(pending)
         if not keep_alive:
@@ -300,7 +300,7 @@
         while self._pending and self._pending[0].answer is not None:
             pending = self._pending.popleft()
             assert pending.answer is not None
-            is_last = not pending.keep_alive or self._server.is_closing
+            is_last = not pending.keep_alive or (self._server.is_closing and not self._pending)
             transport.write(_encode_answer(pending.answer, pending.request.method, is_last))
             self._last_activity_s = self._server.clock.now_s()
             if is_last:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -73,6 +73,25 @@
     assert written.index(b"one") < written.index(b"two") < written.index(b"three")
 
 
+def test_stop_answers_pipelined_requests_before_it_closes_their_connection() -> None:
+    """Guard against requests that were passed on to a server and get no answer in a stop."""
+    caller = _Caller()
+    caller.send(_get("/1") + _get("/2"))
+    caller.server.is_closing = True
+    caller.send(_get("/3") + _get("/4"))
+    # The answer to /3 closes the connection, so that /4 counts as not read and is sent elsewhere.
+    first, second, third = caller.requests
+    first.respond(CallerAnswer(200, body=b"one"))
+    assert not caller.transport.is_closed
+    third.respond(CallerAnswer(200, body=b"three"))
+    second.respond(CallerAnswer(200, body=b"two"))
+    written = caller.transport.written
+    assert written.index(b"one") < written.index(b"two") < written.index(b"three")
+    assert written.count(b"Connection: close") == 1
+    assert written.index(b"Connection: close") > written.index(b"two")
+    assert caller.transport.is_closed
+
+
 def test_second_answer_to_one_request_is_not_sent() -> None:
     """Guard against an extra answer that the caller would take for that of its next request."""
     caller = _Caller()
