Refuse requests that a stopping process can't finish

Callers saw: in a planned stop of one machine, requests that came late in the grace were passed on, and cut with no answer when the process ended, among them requests that may not be repeated (LOST). Reported by other operators; it happened here as well, to a request whose last bytes came late on an open connection, such as a slow upload. Cause: the time of the stop was known only to the listener, not where requests are sent. Change: the request handler knows the times of the stop. In the second half of the grace, a request (or its retry) is sent only if its deadline is before the end of the process, else it is refused at once as not run. Requests in flight at the end are answered with 504 instead of a closed connection. Evidence: test_request_that_comes_late_in_a_stop_is_refused_at_once (with and without a deadline) and test_request_in_flight_at_the_end_of_a_stop_is_answered failed before; test_request_that_a_stop_leaves_enough_time_for_is_served keeps it from refusing more than that. The tests of the program now send the stop signal once: a second one after its end reached the test run itself.

--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -30,6 +30,7 @@
 from berylchute.serverlimits import ServerLimits
 from berylchute.settings import Settings
 from berylchute.sharedobjects import SHARED_KEYS, RouteTable, ServerList, ZoneDrains, decode_object
+from berylchute.stoptimes import StopTimes
 from berylchute.types import MemberStatus, StoredObject
 
 __all__ = ["Edge", "EdgeSettings"]
@@ -313,11 +314,12 @@
         started_s = self._clock.now_s()
         self._is_stopping = True
         self._log.event("stopping", in_flight=self._handler.in_flight)
+        deadline_s = started_s + self._settings.grace_s - STOP_MARGIN_S
+        self._handler.stop_times = StopTimes(started_s + self._settings.grace_s / 2.0, deadline_s)
         self._node.set_ready(False)
         self._node.announce_leaving()
         await anyio.sleep(STOP_CLOSE_DELAY_S)
         self._caller_server.is_closing = True
-        deadline_s = started_s + self._settings.grace_s - STOP_MARGIN_S
         is_listening = True
         while self._clock.now_s() < deadline_s:
             self._caller_server.close_idle()
@@ -328,6 +330,8 @@
             if not is_listening and not self._caller_server.connections:
                 return
             await anyio.sleep(STOP_POLL_S)
+        self._handler.end_unfinished()
+        await anyio.sleep(STOP_POLL_S)
 
     def _answer_metrics(self, pending: PendingRequest) -> None:
         headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
--- a/berylchute/requesthandler.py
+++ b/berylchute/requesthandler.py
@@ -23,6 +23,7 @@
 from berylchute.servers import Server
 from berylchute.servertracker import ServerTracker
 from berylchute.sharedobjects import Route, RouteKind
+from berylchute.stoptimes import StopTimes
 from berylchute.types import Clock
 from berylchute.upstream import ServerAnswer
 
@@ -73,7 +74,13 @@
         self._started_s = clock.now_s()
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._returns = ReturnDetector()
-        self.in_flight = 0
+        self._scopes: set[anyio.CancelScope] = set()
+        self.stop_times = StopTimes()
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests in flight."""
+        return len(self._scopes)
 
     def handle(self, pending: PendingRequest) -> None:
         """Start processing a request; the answer is passed to `pending.respond`.
@@ -106,9 +113,10 @@
         self._background_tasks.start_isolated(self._run_attempts, active)
 
     async def _run_attempts(self, active: ActiveRequest) -> None:
-        self.in_flight += 1
+        scope = anyio.move_on_after(active.deadline_s - self._clock.now_s())
+        self._scopes.add(scope)
         try:
-            with anyio.move_on_after(active.deadline_s - self._clock.now_s()) as scope:
+            with scope:
                 active.pending.cancel = scope.cancel
                 while not await self._send_attempt(active):
                     pass
@@ -120,7 +128,12 @@
                 else:
                     self._end(active.pending, active, Outcome.TIMED_OUT, CallerAnswer(504))
         finally:
-            self.in_flight -= 1
+            self._scopes.discard(scope)
+
+    def end_unfinished(self) -> None:
+        """Answer the requests in flight as if their time were over, before the process ends."""
+        for scope in tuple(self._scopes):
+            scope.cancel()
 
     def prepare_connections(self) -> None:
         """Open connections to distant servers that have none, if requests are in flight."""
@@ -145,6 +158,10 @@
     async def _send_attempt(self, active: ActiveRequest) -> bool:
         """Send the request to one server; return whether the request has ended."""
         now_s = self._clock.now_s()
+        if not self.stop_times.leave_time_for(active.deadline_s, now_s):
+            active.reason = active.reason or "stopping"
+            self._end_unanswered(active)
+            return True
         selection = self._select_server(active, now_s)
         server = selection.server
         if server is None:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -58,14 +58,17 @@
 class _Harness:
     """An edge program, one backend server and a store."""
 
-    def __init__(self) -> None:
+    def __init__(self, timeout_s: float = 1.0) -> None:
         self.callers, peers, server, self.metrics = (f"127.0.0.1:{port}" for port in free_ports(4))
         self.server = server
+        self._is_stopping = False
         entry = ServerEntry("i-1", "s", server, "za", 4, False)
         policy = ServicePolicy("s", 100, 0.0, 10.0)
         self.store = _Store(
             {
-                "routes": RouteTable(7, (route("/a/"),), (policy,), CallerLimits()),
+                "routes": RouteTable(
+                    7, (route("/a/", timeout_s=timeout_s),), (policy,), CallerLimits()
+                ),
                 "servers": ServerList((entry,)),
                 "drains": ZoneDrains(()),
             }
@@ -95,12 +98,18 @@
         serving = asyncio.create_task(self.edge.serve())
         try:
             await act(self)
-            os.kill(os.getpid(), signal.SIGTERM)
+            self.stop()
             await asyncio.wait_for(serving, GRACE_S + 1.0)
         finally:
             serving.cancel()
             server.close()
 
+    def stop(self) -> None:
+        """Send the stop signal once; a second one could reach the test run itself."""
+        if not self._is_stopping:
+            self._is_stopping = True
+            os.kill(os.getpid(), signal.SIGTERM)
+
     async def until_ready(self) -> None:
         async with asyncio.timeout(WAIT_S):
             while not self.edge.is_ready:
@@ -121,7 +130,9 @@
 async def _serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     try:
         while True:
-            await reader.readuntil(b"\r\n\r\n")
+            request = await reader.readuntil(b"\r\n\r\n")
+            if b"/slow" in request:
+                await asyncio.sleep(3.0 * GRACE_S)
             head = b"HTTP/1.1 200 OK\r\nBerylchute-Request-Id: q1\r\nContent-Length: 4\r\n\r\n"
             writer.write(head + b"mine")
     except (asyncio.IncompleteReadError, ConnectionError):
@@ -222,3 +233,53 @@
         assert (await harness.get("/a/x")).startswith(b"HTTP/1.1 200")
 
     asyncio.run(_Harness().run(act))
+
+
+@pytest.mark.parametrize("deadline_ms", [None, 5000])
+def test_request_that_comes_late_in_a_stop_is_refused_at_once(deadline_ms: int | None) -> None:
+    # Guard against requests that a stopping process passes on and cuts at the end of the grace.
+    async def act(harness: _Harness) -> None:
+        await harness.until_ready()
+        host, _, port = harness.callers.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /a/slow HTTP/1.1\r\nHost: a\r\nBerylchute-Request-Id: q1\r\n")
+        await asyncio.sleep(0.05)
+        harness.stop()
+        await asyncio.sleep(GRACE_S / 2.0 + 0.2)
+        deadline = f"Berylchute-Deadline-Ms: {deadline_ms}\r\n" if deadline_ms else ""
+        writer.write(f"{deadline}\r\n".encode())
+        async with asyncio.timeout(0.2):
+            answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 503") and b"Retry-After" in answer
+
+    asyncio.run(_Harness().run(act))
+
+
+def test_request_that_a_stop_leaves_enough_time_for_is_served() -> None:
+    # Guard against refusals in a stop of requests that can be answered before the process ends.
+    async def act(harness: _Harness) -> None:
+        await harness.until_ready()
+        host, _, port = harness.callers.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /a/x HTTP/1.1\r\nHost: a\r\nBerylchute-Request-Id: q1\r\n")
+        await asyncio.sleep(0.05)
+        harness.stop()
+        await asyncio.sleep(GRACE_S / 2.0 + 0.2)
+        writer.write(b"Berylchute-Deadline-Ms: 200\r\n\r\n")
+        async with asyncio.timeout(0.2):
+            answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"mine")
+
+    asyncio.run(_Harness().run(act))
+
+
+def test_request_in_flight_at_the_end_of_a_stop_is_answered() -> None:
+    # Guard against a closed connection in place of an answer when a server is slower than the stop.
+    async def act(harness: _Harness) -> None:
+        await harness.until_ready()
+        request = asyncio.create_task(harness.get("/a/slow"))
+        await asyncio.sleep(0.05)
+        harness.stop()
+        assert (await request).startswith(b"HTTP/1.1 504")
+
+    asyncio.run(_Harness(timeout_s=30.0).run(act))
