Have one sender to a cold server while members are new, suspect or cut off

Callers would see: a cold server gets several times its cold rate and crashes. Cause: the sender was the live member with the highest weight in the view of each member. A fresh process knows only itself, members that suspect each other pass over each other, and regions cut apart each choose one.

--- a/berylchute/assignments.py
+++ b/berylchute/assignments.py
@@ -6,7 +6,8 @@
 from collections.abc import Sequence
 from hashlib import blake2b
 
-from berylchute.types import MemberState, MemberStatus
+from berylchute.retrybudget import MEMBER_DISCOVERY_S
+from berylchute.types import Clock, MemberState, MemberStatus
 
 __all__ = ["WATCHER_COUNT", "ColdSenderSelector", "should_watch_store"]
 
@@ -34,40 +35,56 @@
 
 
 class ColdSenderSelector:
-    """Select the one member that sends to a cold server.
+    """Select the one member that sends to a cold server, among those of the server's region.
 
-    Selections are cached until the live members change.
+    Members of other regions don't take over: they may only be cut off from that region. A fresh
+    process does not know the other members and sends nothing. Selections are cached until the
+    candidates change.
     """
 
-    def __init__(self, own_host_id: str) -> None:
+    def __init__(self, own_host_id: str, clock: Clock) -> None:
         self._own_host_id = own_host_id
+        self._clock = clock
+        self._started_s = clock.now_s()
         self._members: Sequence[MemberStatus] = ()
-        self._live: tuple[str, ...] = ()
+        self._candidates: Sequence[tuple[str, str]] = ()
+        self._regions: frozenset[str] = frozenset()
         self._is_sender: dict[str, bool] = {}
 
-    def is_cold_sender(self, server_id: str, members: Sequence[MemberStatus]) -> bool:
-        """Return whether this member is the sender for a cold server."""
+    def is_cold_sender(self, server_id: str, region: str, members: Sequence[MemberStatus]) -> bool:
+        """Return whether this member is the sender for a cold server of a region."""
+        if self._clock.now_s() - self._started_s <= MEMBER_DISCOVERY_S:
+            return False
         if members is not self._members:
             self._members = members
-            self._update_live_members(members)
+            self._update_candidates(members)
         is_sender = self._is_sender.get(server_id)
         if is_sender is None:
-            winner = max(
-                self._live,
-                key=lambda host_id: _rendezvous_weight(server_id, host_id),
-                default=self._own_host_id,
-            )
-            is_sender = self._is_sender[server_id] = winner == self._own_host_id
+            is_sender = self._select(server_id, region) == self._own_host_id
+            self._is_sender[server_id] = is_sender
         return is_sender
 
-    def _update_live_members(self, members: Sequence[MemberStatus]) -> None:
-        live = tuple(
-            status.record.host_id
-            for status in members
-            if status.state is MemberState.LIVE and not status.record.leaving
+    def _select(self, server_id: str, region: str) -> str:
+        candidates = [
+            host_id
+            for host_id, host_region in self._candidates
+            if host_region == region or region not in self._regions
+        ]
+        return max(
+            candidates, key=lambda host_id: _rendezvous_weight(server_id, host_id), default=""
         )
-        if live != self._live:
-            self._live = live
+
+    def _update_candidates(self, members: Sequence[MemberStatus]) -> None:
+        staying = [status for status in members if not status.record.leaving]
+        # Members regard others as suspect at different times, so suspects stay candidates.
+        candidates = [
+            (status.record.host_id, status.record.region)
+            for status in staying
+            if status.state is not MemberState.GONE
+        ]
+        regions = frozenset(status.record.region for status in staying)
+        if candidates != self._candidates or regions != self._regions:
+            self._candidates, self._regions = candidates, regions
             self._is_sender.clear()
 
 
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -28,6 +28,7 @@
 from berylchute.routeindex import RouteIndex
 from berylchute.selection import Selector
 from berylchute.serverlimits import ServerLimits
+from berylchute.servers import Server
 from berylchute.settings import Settings
 from berylchute.sharedobjects import SHARED_KEYS, RouteTable, ServerList, ZoneDrains, decode_object
 from berylchute.stoptimes import StopTimes
@@ -107,7 +108,7 @@
             AnswerMemory(settings.node.host.memory_mb),
         )
         self._directory = Directory()
-        self._cold_sender_selector = ColdSenderSelector(host)
+        self._cold_sender_selector = ColdSenderSelector(host, self._clock)
         self._server_limits = ServerLimits(host, self._backends, self._clock)
         self._background_tasks = BackgroundTasks()
         self._metrics = EdgeMetrics()
@@ -237,9 +238,11 @@
     def _should_watch_store(self) -> bool:
         return should_watch_store(self._node.record.host_id, self._node.members.list_members())
 
-    def _is_cold_sender(self, server_id: str) -> bool:
+    def _is_cold_sender(self, server: Server) -> bool:
         return self._cold_sender_selector.is_cold_sender(
-            server_id, self._node.members.list_members()
+            server.entry.server_id,
+            self._settings.zone_regions.get(server.entry.availability_zone, ""),
+            self._node.members.list_members(),
         )
 
     async def _report_forever(self) -> None:
--- a/berylchute/selection.py
+++ b/berylchute/selection.py
@@ -57,11 +57,11 @@
 class Selector:
     """Select among the servers of a service.
 
-    `is_cold_sender` takes the id of a cold server and returns whether this member may send to it.
+    `is_cold_sender` returns whether this member may send to a cold server.
     """
 
     def __init__(
-        self, backends: Backends, is_cold_sender: Callable[[str], bool], limits: ServerLimits
+        self, backends: Backends, is_cold_sender: Callable[[Server], bool], limits: ServerLimits
     ) -> None:
         self._backends = backends
         self._is_cold_sender = is_cold_sender
@@ -138,4 +138,4 @@
             return False
         if server.failures and server.in_flight:
             return False  # one request in flight probes a server that failed
-        return not server.is_cold(now_s) or self._is_cold_sender(server.entry.server_id)
+        return not server.is_cold(now_s) or self._is_cold_sender(server)
--- a/tests/test_assignments.py
+++ b/tests/test_assignments.py
@@ -1,9 +1,13 @@
 """Check which members watch the store and which one sends to a cold server."""
 
+from collections.abc import Callable, Collection, Sequence
+
 import pytest
 
 from berylchute.assignments import WATCHER_COUNT, ColdSenderSelector, should_watch_store
+from berylchute.retrybudget import MEMBER_DISCOVERY_S
 from berylchute.types import MemberState, MemberStatus
+from tests.httpfakes import ManualClock
 from tests.test_directory import member
 
 NAMES = [f"m{number}" for number in range(1, 12)]
@@ -49,30 +53,99 @@
     assert len(gone) == WATCHER_COUNT and not gone & first
 
 
+class _ColdSenders:
+    """The members of three regions and what each decides about cold servers of region ra."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.regions = {name: "rarbrc"[2 * (n % 3) :][:2] for n, name in enumerate(NAMES)}
+        self.selectors = {name: ColdSenderSelector(name, self.clock) for name in NAMES}
+        self.clock.now += MEMBER_DISCOVERY_S + 0.1
+
+    def statuses(
+        self, *names: str, lost: Collection[str] = (), state: MemberState = MemberState.GONE
+    ) -> list[MemberStatus]:
+        return [
+            member(n, "za", self.regions[n], state=state if n in lost else MemberState.LIVE)
+            for n in names or NAMES
+        ]
+
+    def senders(
+        self, server_id: str, view: Callable[[str], Sequence[MemberStatus]], region: str = "ra"
+    ) -> list[str]:
+        return [
+            name
+            for name, selector in self.selectors.items()
+            if selector.is_cold_sender(server_id, region, view(name))
+        ]
+
+
 def test_cold_server_has_one_sender_that_moves_only_with_it() -> None:
     # Guard against several senders to a cold server or none after the sender has stopped, and one
     # member that sends to all cold servers.
-    everyone = fleet(set())
-    selectors = {name: ColdSenderSelector(name) for name in NAMES}
-    senders = [name for name in NAMES if selectors[name].is_cold_sender("i-1", everyone)]
-    assert len(senders) == 1
+    fleet = _ColdSenders()
+    everyone = fleet.statuses()
+    (sender,) = fleet.senders("i-1", lambda _: everyone)
+    assert fleet.regions[sender] == "ra"
     # The same selectors select another sender when the first one is gone.
-    others = fleet(set(), lost=frozenset(senders))
-    assert sum(selectors[n].is_cold_sender("i-1", others) for n in NAMES if n not in senders) == 1
-    spread = {
-        n for s in range(50) for n in NAMES if selectors[n].is_cold_sender(f"i-{s}", everyone)
+    others = fleet.statuses(lost=[sender])
+    assert len(set(fleet.senders("i-1", lambda _: others)) - {sender}) == 1
+    spread = {n for s in range(50) for n in fleet.senders(f"i-{s}", lambda _: everyone)}
+    assert spread == {name for name, region in fleet.regions.items() if region == "ra"}
+
+
+def test_region_without_members_has_a_sender() -> None:
+    # Guard against a cold server that never gets a request where no member runs.
+    fleet = _ColdSenders()
+    everyone = fleet.statuses()
+    assert len(fleet.senders("i-1", lambda _: everyone, region="rd")) == 1
+
+
+def test_fresh_processes_send_nothing_to_cold_servers() -> None:
+    # Guard against restarted processes that each regard themselves as the only member.
+    fleet = _ColdSenders()
+    fleet.selectors = {name: ColdSenderSelector(name, fleet.clock) for name in NAMES}
+    alone = {name: fleet.statuses(name) for name in NAMES}
+    assert not fleet.senders("i-1", alone.__getitem__)
+    fleet.clock.now += MEMBER_DISCOVERY_S + 0.1
+    everyone = fleet.statuses()
+    assert len(fleet.senders("i-1", lambda _: everyone)) == 1
+
+
+def test_regions_cut_off_from_each_other_have_one_sender_together() -> None:
+    # Guard against a sender in each region when members of the others seem to be gone.
+    fleet = _ColdSenders()
+    views = {
+        name: fleet.statuses(lost=[n for n in NAMES if fleet.regions[n] != fleet.regions[name]])
+        for name in NAMES
+    }
+    for number in range(20):
+        assert len(fleet.senders(f"i-{number}", views.__getitem__)) == 1
+
+
+def test_members_that_suspect_each_other_have_one_sender_together() -> None:
+    # Guard against several senders while members miss heartbeats of one another.
+    fleet = _ColdSenders()
+    views = {
+        name: fleet.statuses(lost=[n for n in NAMES if n != name], state=MemberState.SUSPECT)
+        for name in NAMES
     }
-    assert len(spread) > len(NAMES) // 2
+    for number in range(20):
+        assert len(fleet.senders(f"i-{number}", views.__getitem__)) == 1
 
 
 def test_sender_is_cached_while_the_same_members_live(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # Guard against hashing for each request whenever a new list with the same members arrives.
-    selector = ColdSenderSelector("m1")
-    first = selector.is_cold_sender("i-1", fleet(set()))
+    clock = ManualClock()
+    selector = ColdSenderSelector("m1", clock)
+    clock.now += MEMBER_DISCOVERY_S + 0.1
+    first = selector.is_cold_sender("i-1", "ra", fleet(set()))
     monkeypatch.setattr("berylchute.assignments._rendezvous_weight", _fail)
-    assert selector.is_cold_sender("i-1", fleet({"m2"})) is first  # a new list, the same members
+    assert (
+        selector.is_cold_sender("i-1", "ra", fleet({"m2"})) is first
+    )  # a new list, the same members
 
 
 def _fail(_key: str, _host_id: str) -> bytes:
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -18,7 +18,9 @@
 
 
 class _Harness:
-    def __init__(self, *names: str, is_cold_sender: Callable[[str], bool] = lambda _: True) -> None:
+    def __init__(
+        self, *names: str, is_cold_sender: Callable[[Server], bool] = lambda _: True
+    ) -> None:
         self.clock = ManualClock()
         self.backends: Backends = make_backends(self.clock, *map(entry, names))
         self.selector = Selector(
