--- a/berylchute/attempts.py
+++ b/berylchute/attempts.py
@@ -82,7 +82,8 @@
 ) -> UpstreamRequest:
     """Encode a request for a server.
 
-    The deadline header holds the remaining time in milliseconds, at least 1.
+    The deadline header holds the remaining time in milliseconds, at least 1. A request without an
+    id needs a new connection: nothing else tells its answer from a repeat of an earlier one.
     """
     request = active.request
     remaining_ms = max(1, int((active.deadline_s - now_s) * 1000.0))
@@ -97,6 +98,7 @@
         id_header=header_names.request_id,
         is_head=request.method == b"HEAD",
         data=b"\r\n".join(lines) + b"\r\n\r\n" + request.body,
+        needs_new_connection=not request.request_id,
     )
 
 
--- a/berylchute/upstream.py
+++ b/berylchute/upstream.py
@@ -288,18 +288,27 @@
         self.last_connect_s: float | None = None
 
     async def exchange(self, request: UpstreamRequest) -> ServerAnswer:
-        """Send a request on an idle or new connection; raise NotSent, AnswerLost, AnswerInvalid.
-
-        A request without an id gets a new connection: nothing else tells its answer from a repeat
-        of an earlier one.
-        """
-        idle = self._acquire_idle() if request.request_id else None
-        connection = idle or await self._connect()
+        """Send a request on an idle or new connection; raise NotSent, AnswerLost, AnswerInvalid."""
+        if request.needs_new_connection:
+            return await self._exchange_alone(request)
+        connection = self._acquire_idle() or await self._connect()
         answer = await connection.exchange(request)
         if connection.is_usable:
             self._idle.append(connection)
         return answer
 
+    async def _exchange_alone(self, request: UpstreamRequest) -> ServerAnswer:
+        if self._idle and self._is_full():
+            idle = self._idle.pop(0)
+            idle.abort()
+            self._open.discard(idle)
+        connection = await self._connect()
+        try:
+            return await connection.exchange(request)
+        finally:
+            connection.abort()
+            self._open.discard(connection)
+
     @property
     def needs_spare_connection(self) -> bool:
         """Return whether a second concurrent request would have to open a connection.
@@ -353,8 +362,11 @@
             connection.abort()
         return None
 
+    def _is_full(self) -> bool:
+        return len(self._open) + self._connecting >= self._connections_max
+
     async def _connect(self) -> _Connection:
-        if len(self._open) + self._connecting >= self._connections_max:
+        if self._is_full():
             raise NotSent("connection limit of the server is reached")
         loop = asyncio.get_running_loop()
         started_s = self._clock.now_s()
--- a/berylchute/upstreammessages.py
+++ b/berylchute/upstreammessages.py
@@ -12,13 +12,15 @@
     """One encoded request.
 
     The answer must carry `request_id` in the header `id_header`; an empty id is not checked.
-    `is_head` is true for the method HEAD, whose answer has no body.
+    `is_head` is true for the method HEAD, whose answer has no body. A request that
+    `needs_new_connection` shares its connection with no other request.
     """
 
     request_id: bytes
     id_header: bytes
     is_head: bool
     data: bytes
+    needs_new_connection: bool = False
 
 
 @attrs.frozen
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -40,6 +40,14 @@
     assert not any(line.startswith(b"Content-Length") for line in _lines(_active()))
 
 
+def test_only_a_request_without_an_id_needs_a_new_connection() -> None:
+    """Guard against a repeat of an earlier refusal that is taken for the answer to a request."""
+    active = _active()
+    assert not encode_request(HeaderNames(), active, "i-1", 100.25).needs_new_connection
+    active.request.request_id = ""
+    assert encode_request(HeaderNames(), active, "i-1", 100.25).needs_new_connection
+
+
 def test_times_are_rounded_for_logs() -> None:
     # Guard against long fractions in log lines.
     assert round_ms(0.12345678) == 123.5
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -284,13 +284,30 @@
         server, address = await _listen()
         pool = ConnectionPool(address, ManualClock(), 4)
         await pool.exchange(REQUEST)
-        await pool.exchange(attrs.evolve(REQUEST, request_id=b""))
+        await pool.exchange(attrs.evolve(REQUEST, request_id=b"", needs_new_connection=True))
         assert pool.connections_opened == 2
         server.close()
 
     asyncio.run(main())
 
 
+def test_requests_on_new_connections_leave_room_for_others() -> None:
+    """Guard against requests without an id that use up the connections of their server."""
+
+    async def main() -> None:
+        server, address = await _listen()
+        pool = ConnectionPool(address, ManualClock(), 4)
+        for _ in range(4):
+            await pool.open_spare_connection()
+        for _ in range(10):
+            await pool.exchange(attrs.evolve(REQUEST, request_id=b"", needs_new_connection=True))
+        await pool.exchange(REQUEST)
+        assert pool.connections_opened == 14
+        server.close()
+
+    asyncio.run(main())
+
+
 def test_no_spare_is_needed_beside_two_idle_connections() -> None:
     """Guard against too few or too many spare connections."""
 
