Take no share of a common bound before the other members are known

Same class as the stated limits: a bound for all members together that a member keeps by its own view alone. Callers would see: servers in need or cold servers that get several times what they accept and fail, and repeats above the retry budget, when processes start cut off from the others. Cause: a process took its share 5 s after its start, also if it had heard of no other member, so that each such process regarded itself as the only one: the whole limit, every cold server and the whole burst of retries. Change: the shares begin 5 s after an update from another member has arrived (at once where no others are configured as seeds), by one rule for limits, cold servers and retries (discovery). Tests construct the three parts with a discovery in place of a start time; their checks are unchanged.

--- a/berylchute/assignments.py
+++ b/berylchute/assignments.py
@@ -6,8 +6,8 @@
 from collections.abc import Sequence
 from hashlib import blake2b
 
-from berylchute.retrybudget import MEMBER_DISCOVERY_S
-from berylchute.types import Clock, MemberState, MemberStatus
+from berylchute.discovery import MemberDiscovery
+from berylchute.types import MemberState, MemberStatus
 
 __all__ = ["WATCHER_COUNT", "ColdSenderSelector", "should_watch_store"]
 
@@ -37,15 +37,14 @@
 class ColdSenderSelector:
     """Select the one member that sends to a cold server, among those of the server's region.
 
-    Members of other regions don't take over: they may only be cut off from that region. A fresh
-    process does not know the other members and sends nothing. Selections are cached until the
-    candidates change.
+    Members of other regions don't take over: they may only be cut off from that region. A process
+    that does not know the other members sends nothing. Selections are cached until the candidates
+    change.
     """
 
-    def __init__(self, own_host_id: str, clock: Clock) -> None:
+    def __init__(self, own_host_id: str, discovery: MemberDiscovery) -> None:
         self._own_host_id = own_host_id
-        self._clock = clock
-        self._started_s = clock.now_s()
+        self._discovery = discovery
         self._members: Sequence[MemberStatus] = ()
         self._candidates: Sequence[tuple[str, str]] = ()
         self._regions: frozenset[str] = frozenset()
@@ -53,7 +52,7 @@
 
     def is_cold_sender(self, server_id: str, region: str, members: Sequence[MemberStatus]) -> bool:
         """Return whether this member is the sender for a cold server of a region."""
-        if self._clock.now_s() - self._started_s <= MEMBER_DISCOVERY_S:
+        if not self._discovery.is_complete():
             return False
         if members is not self._members:
             self._members = members
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -17,6 +17,7 @@
 from berylchute.callers import CallerAnswer, CallerServer, PendingRequest
 from berylchute.collection import Collection, CollectionFeed, CollectionStore
 from berylchute.directory import Directory
+from berylchute.discovery import MemberDiscovery
 from berylchute.edgemetrics import EdgeMetrics, EdgeState
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import ConfigError, SettingsError
@@ -108,8 +109,9 @@
             AnswerMemory(settings.node.host.memory_mb),
         )
         self._directory = Directory()
-        self._cold_sender_selector = ColdSenderSelector(host, self._clock)
-        self._server_limits = ServerLimits(host, self._backends, self._clock)
+        self._discovery = MemberDiscovery(self._clock)
+        self._cold_sender_selector = ColdSenderSelector(host, self._discovery)
+        self._server_limits = ServerLimits(host, self._backends, self._clock, self._discovery)
         self._background_tasks = BackgroundTasks()
         self._metrics = EdgeMetrics()
         self._feeds = [
@@ -147,6 +149,7 @@
             metrics=self._metrics,
             retry_bounds=self._settings.retry_bounds,
             member_count=lambda: len(self._node.members.list_members()),
+            discovery=self._discovery,
             region_of_zone=lambda zone: self._settings.zone_regions.get(zone, ""),
         )
 
@@ -251,6 +254,7 @@
             members = self._node.members.list_members()
             self._log_members(members)
             self._directory.update(members)
+            self._discovery.update(is_joined=self._node.is_joined)
             self._server_limits.update_members(members)
             self._node.set_server_limits(self._server_limits.limits_to_report())
             self._backends.close_expired()
--- a/berylchute/node.py
+++ b/berylchute/node.py
@@ -152,6 +152,11 @@
         """Return the members known to this process and their states."""
         return self._membership
 
+    @property
+    def is_joined(self) -> bool:
+        """Return whether an update from a peer has arrived, or no seeds are configured."""
+        return self._membership.is_joined
+
     @property
     def peers(self) -> PeerSender:
         """Return the sender of messages to peers."""
--- a/berylchute/requesthandler.py
+++ b/berylchute/requesthandler.py
@@ -11,6 +11,7 @@
 from berylchute.backends import Backends
 from berylchute.background import BackgroundTasks
 from berylchute.callers import CallerAnswer, PendingRequest
+from berylchute.discovery import MemberDiscovery
 from berylchute.edgemetrics import EdgeMetrics
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import ExchangeError, NotSent
@@ -56,6 +57,7 @@
         metrics: EdgeMetrics,
         retry_bounds: RetryBounds,
         member_count: Callable[[], int],
+        discovery: MemberDiscovery,
         region_of_zone: Callable[[str], str],
     ) -> None:
         self._header_names = header_names
@@ -71,7 +73,7 @@
         self.retry_bounds = retry_bounds
         self._member_count = member_count
         self._region_of_zone = region_of_zone
-        self._started_s = clock.now_s()
+        self._discovery = discovery
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._returns = ReturnDetector()
         self._scopes: set[anyio.CancelScope] = set()
@@ -360,7 +362,7 @@
     def _retry_budget(self, service: str) -> RetryBudget:
         budget = self._retry_budgets.get(service)
         if budget is None:
-            budget = self._retry_budgets[service] = RetryBudget(self.retry_bounds, self._started_s)
+            budget = self._retry_budgets[service] = RetryBudget(self.retry_bounds, self._discovery)
         budget.bounds = self.retry_bounds
         return budget
 
--- a/berylchute/retrybudget.py
+++ b/berylchute/retrybudget.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from berylchute.discovery import MemberDiscovery
+
 __all__ = ["RetryBounds", "RetryBudget"]
 
 # Ratio of the budget that is used. The budget may be checked over other windows than the last one:
@@ -12,9 +14,6 @@
 USED_RATIO = 0.75
 # Ratio of the used budget that is reserved for callers that return after a refusal.
 RESERVED_RATIO = 0.5
-# A process doesn't know how many members share the budget until it has received their heartbeats:
-# no burst for ten heartbeats after the start.
-MEMBER_DISCOVERY_S = 5.0
 
 
 @attrs.frozen
@@ -30,11 +29,14 @@
 
 
 class RetryBudget:
-    """The retry budget of one service, over a sliding window of requests and retries."""
+    """The retry budget of one service, over a sliding window of requests and retries.
+
+    Without the other members, a process has no part of the burst.
+    """
 
-    def __init__(self, bounds: RetryBounds, started_s: float) -> None:
+    def __init__(self, bounds: RetryBounds, discovery: MemberDiscovery) -> None:
         self.bounds = bounds
-        self._started_s = started_s
+        self._discovery = discovery
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
 
@@ -51,7 +53,7 @@
         """
         self._discard_old(now_s)
         allowed = self.bounds.ratio * len(self._requests)
-        if now_s - self._started_s > MEMBER_DISCOVERY_S:
+        if self._discovery.is_complete():
             allowed += self.bounds.burst / max(1, member_count)
         usable_ratio = USED_RATIO if is_return else USED_RATIO * (1.0 - RESERVED_RATIO)
         return allowed * usable_ratio - len(self._retries)
--- a/berylchute/serverlimits.py
+++ b/berylchute/serverlimits.py
@@ -4,8 +4,8 @@
 from collections.abc import Mapping, Sequence
 
 from berylchute.backends import Backends
+from berylchute.discovery import MemberDiscovery
 from berylchute.limitreports import LimitReports
-from berylchute.retrybudget import MEMBER_DISCOVERY_S
 from berylchute.sendershares import SenderShare, divide_rate, sender_rank
 from berylchute.servers import Server
 from berylchute.tokenbucket import TokenBucket
@@ -33,11 +33,12 @@
     they may only be cut off from this member.
     """
 
-    def __init__(self, own_host_id: str, backends: Backends, clock: Clock) -> None:
+    def __init__(
+        self, own_host_id: str, backends: Backends, clock: Clock, discovery: MemberDiscovery
+    ) -> None:
         self._own_host_id = own_host_id
         self._backends = backends
-        self._clock = clock
-        self._started_s = clock.now_s()
+        self._discovery = discovery
         self._reports = LimitReports(own_host_id, clock, self._rank)
         self._regions: Mapping[str, str] = {}
         self._index_number = 0
@@ -67,7 +68,7 @@
             return True
         if server.bucket is None:
             server.bucket = TokenBucket(now_s)
-        share = self._share(server, limit_per_s, now_s)
+        share = self._share(server, limit_per_s)
         rate_per_s = share.part * max(limit_per_s, RATE_MIN_PER_S)
         server.bucket.refill(rate_per_s, share.burst, now_s)
         debt = RETURN_DEBT if is_return else 0.0
@@ -79,10 +80,9 @@
         if server.bucket is not None:
             server.bucket.take()
 
-    def _share(self, server: Server, limit_per_s: float, now_s: float) -> SenderShare:
-        # A fresh process does not know among how many members the limit is divided.
-        if now_s - self._started_s <= MEMBER_DISCOVERY_S:
-            return SenderShare()
+    def _share(self, server: Server, limit_per_s: float) -> SenderShare:
+        if not self._discovery.is_complete():
+            return SenderShare()  # unknown among how many members the limit is divided
         key = (server.entry.server_id, limit_per_s)
         share = self._shares.get(key)
         if share is None:
--- a/tests/limitedfleet.py
+++ b/tests/limitedfleet.py
@@ -9,6 +9,7 @@
 import attrs
 
 from berylchute.backends import Backends
+from berylchute.discovery import MemberDiscovery
 from berylchute.eventlog import EventLog
 from berylchute.headernames import HeaderNames
 from berylchute.selection import Selector
@@ -44,20 +45,28 @@
         self.published: Mapping[str, float] = {}
         # Names of the members that this one regards as gone.
         self.cut_off: frozenset[str] = frozenset()
+        self.has_joined = not self.started_s
         self._fleet = fleet
         self.backends = Backends(fleet.clock, zone, ZONE_REGIONS)
         policy = ServicePolicy("s", 390, warmup_s=3.0, cold_rate_per_s=10.0)
         self.backends.configure(RouteTable(1, (), (policy,), CallerLimits()))
         self.backends.update_servers(fleet.server_list)
-        self.limits = ServerLimits(name, self.backends, fleet.clock)
+        self.discovery = MemberDiscovery(fleet.clock)
+        self.limits = ServerLimits(name, self.backends, fleet.clock, self.discovery)
         self.selector = Selector(self.backends, lambda _: True, self.limits)
         self.tracker = ServerTracker(self.backends, HeaderNames(), fleet.clock, fleet.log)
 
     def update_view(self) -> None:
         """Take over what the other members publish, and publish the own limits."""
-        self.limits.update_members(self._fleet.statuses(self))
+        statuses = self._fleet.statuses(self)
+        self.discovery.update(is_joined=len(statuses) == len(self._fleet.members))
+        self.limits.update_members(statuses)
         self.published = self.limits.limits_to_report()
 
+    def join(self) -> None:
+        """Receive the records of the other members from now on."""
+        self.has_joined = True
+
     def request(self, key: str, *, is_return: bool = False) -> None:
         """Send a caller's request to the selected server, if there is one."""
         now_s = self._fleet.clock.now
@@ -111,7 +120,7 @@
 
     def statuses(self, reader: FleetMember) -> Sequence[MemberStatus]:
         """Return the member list as `reader` sees it: a fresh process knows only itself."""
-        if reader.started_s and self.clock.now - reader.started_s < JOIN_S:
+        if not reader.has_joined:
             return [self._published[reader.name]]
         return [
             attrs.evolve(status, state=MemberState.GONE) if name in reader.cut_off else status
@@ -124,10 +133,12 @@
             server = self.servers[server_id]
             server.limit_per_s, server.stated_at_s = limit_per_s, self.clock.now
 
-    def restart(self, number: int) -> None:
-        """Replace a member by a fresh process with the same name."""
+    def restart(self, number: int, *, is_cut_off: bool = False) -> None:
+        """Replace a member by a fresh process with the same name, which joins unless cut off."""
         old = self.members[number]
-        self.members[number] = FleetMember(self, old.name, old.zone)
+        fresh = self.members[number] = FleetMember(self, old.name, old.zone)
+        if not is_cut_off:
+            self.call_later(JOIN_S, fresh.join)
 
     def run(self, seconds: float, requests_per_s: float, *, is_return: bool = False) -> None:
         """Let callers send requests to random members, new or (`is_return`) refused before."""
--- a/tests/test_assignments.py
+++ b/tests/test_assignments.py
@@ -5,7 +5,7 @@
 import pytest
 
 from berylchute.assignments import WATCHER_COUNT, ColdSenderSelector, should_watch_store
-from berylchute.retrybudget import MEMBER_DISCOVERY_S
+from berylchute.discovery import MEMBER_DISCOVERY_S, MemberDiscovery
 from berylchute.types import MemberState, MemberStatus
 from tests.httpfakes import ManualClock
 from tests.test_directory import member
@@ -59,9 +59,17 @@
     def __init__(self) -> None:
         self.clock = ManualClock()
         self.regions = {name: "rarbrc"[2 * (n % 3) :][:2] for n, name in enumerate(NAMES)}
-        self.selectors = {name: ColdSenderSelector(name, self.clock) for name in NAMES}
+        self.restart()
+        self.join()
         self.clock.now += MEMBER_DISCOVERY_S + 0.1
 
+    def restart(self) -> None:
+        self.discovery = MemberDiscovery(self.clock)
+        self.selectors = {name: ColdSenderSelector(name, self.discovery) for name in NAMES}
+
+    def join(self) -> None:
+        self.discovery.update(is_joined=True)
+
     def statuses(
         self, *names: str, lost: Collection[str] = (), state: MemberState = MemberState.GONE
     ) -> list[MemberStatus]:
@@ -104,7 +112,8 @@
 def test_fresh_processes_send_nothing_to_cold_servers() -> None:
     # Guard against restarted processes that each regard themselves as the only member.
     fleet = _ColdSenders()
-    fleet.selectors = {name: ColdSenderSelector(name, fleet.clock) for name in NAMES}
+    fleet.restart()
+    fleet.join()
     alone = {name: fleet.statuses(name) for name in NAMES}
     assert not fleet.senders("i-1", alone.__getitem__)
     fleet.clock.now += MEMBER_DISCOVERY_S + 0.1
@@ -112,6 +121,15 @@
     assert len(fleet.senders("i-1", lambda _: everyone)) == 1
 
 
+def test_processes_that_start_cut_off_send_nothing_to_cold_servers() -> None:
+    # Guard against a restarted process that takes over for all others, as it never hears of them.
+    fleet = _ColdSenders()
+    fleet.restart()
+    fleet.clock.now += 10.0 * MEMBER_DISCOVERY_S
+    alone = {name: fleet.statuses(name) for name in NAMES}
+    assert not fleet.senders("i-1", alone.__getitem__)
+
+
 def test_regions_cut_off_from_each_other_have_one_sender_together() -> None:
     # Guard against a sender in each region when members of the others seem to be gone.
     fleet = _ColdSenders()
@@ -139,7 +157,9 @@
 ) -> None:
     # Guard against hashing for each request whenever a new list with the same members arrives.
     clock = ManualClock()
-    selector = ColdSenderSelector("m1", clock)
+    discovery = MemberDiscovery(clock)
+    discovery.update(is_joined=True)
+    selector = ColdSenderSelector("m1", discovery)
     clock.now += MEMBER_DISCOVERY_S + 0.1
     first = selector.is_cold_sender("i-1", "ra", fleet(set()))
     monkeypatch.setattr("berylchute.assignments._rendezvous_weight", _fail)
--- a/tests/test_requesthandler.py
+++ b/tests/test_requesthandler.py
@@ -17,6 +17,7 @@
     CallerServer,
     PendingRequest,
 )
+from berylchute.discovery import MemberDiscovery
 from berylchute.edgemetrics import EdgeMetrics
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import AnswerInvalid, AnswerLost, NotSent
@@ -158,13 +159,15 @@
         for server in backends.of_service("s"):
             server.pool = _Pool(self)  # type: ignore[assignment]
         retry_bounds = RetryBounds(ratio=self.retry_ratio, burst=0.0)
+        discovery = MemberDiscovery(clock)
+        limits = ServerLimits("m1", backends, clock, discovery)
         read, write = os.pipe()
         os.close(read)
         return RequestHandler(
             header_names=HeaderNames(),
             routes=routes,
             backends=backends,
-            selector=Selector(backends, lambda _: True, ServerLimits("m1", backends, clock)),
+            selector=Selector(backends, lambda _: True, limits),
             background_tasks=background_tasks,
             clock=clock,
             rng=Random(1),
@@ -172,6 +175,7 @@
             metrics=self.metrics,
             retry_bounds=retry_bounds,
             member_count=lambda: 1,
+            discovery=discovery,
             region_of_zone=lambda _: "ra",
         )
 
--- a/tests/test_retrybudget.py
+++ b/tests/test_retrybudget.py
@@ -3,11 +3,22 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from berylchute.retrybudget import MEMBER_DISCOVERY_S, RetryBounds, RetryBudget
+from berylchute.discovery import MEMBER_DISCOVERY_S, MemberDiscovery
+from berylchute.retrybudget import RetryBounds, RetryBudget
+from tests.httpfakes import ManualClock
 
 BOUNDS = RetryBounds(ratio=0.2, burst=60.0, window_s=10.0)
 
 
+def joined_discovery() -> MemberDiscovery:
+    """Return the discovery of a process that has known the other members for long."""
+    clock = ManualClock(0.0)
+    discovery = MemberDiscovery(clock)
+    discovery.update(is_joined=True)
+    clock.now += MEMBER_DISCOVERY_S + 1.0
+    return discovery
+
+
 def _count(times: list[float], start_s: float) -> int:
     return sum(1 for time_s in times if start_s <= time_s < start_s + BOUNDS.window_s)
 
@@ -33,7 +44,7 @@
     member_count: int, events: list[tuple[int, bool, float]]
 ) -> None:
     # Guard against retries of all members that together exceed the budget in some window.
-    budgets = [RetryBudget(BOUNDS, 0.0) for _ in range(member_count)]
+    budgets = [RetryBudget(BOUNDS, joined_discovery()) for _ in range(member_count)]
     now_s = MEMBER_DISCOVERY_S + 1.0
     requests: list[float] = []
     retries: list[float] = []
@@ -54,7 +65,7 @@
 ) -> None:
     # Guard against more retries than allowed after the request rate has fallen. Each rate lasts
     # 2 s, and from some moment on every allowed retry is sent.
-    budget = RetryBudget(BOUNDS, 0.0)
+    budget = RetryBudget(BOUNDS, joined_discovery())
     requests: list[float] = []
     retries: list[float] = []
     start_s = MEMBER_DISCOVERY_S + 1.0
@@ -72,14 +83,30 @@
 
 def test_fresh_process_has_no_burst() -> None:
     # Guard against a burst above the budget when processes restart and don't know each other yet.
-    budget = RetryBudget(BOUNDS, 0.0)
-    assert not budget.acquire(1, MEMBER_DISCOVERY_S - 0.1)
-    assert budget.acquire(1, MEMBER_DISCOVERY_S + 0.1)
+    clock = ManualClock()
+    discovery = MemberDiscovery(clock)
+    budget = RetryBudget(BOUNDS, discovery)
+    discovery.update(is_joined=True)
+    clock.now += MEMBER_DISCOVERY_S - 0.1
+    assert not budget.acquire(1, clock.now)
+    clock.now += 0.2
+    assert budget.acquire(1, clock.now)
+
+
+def test_process_that_starts_cut_off_has_no_burst() -> None:
+    """Guard against the whole burst for a process that knows only itself."""
+    clock = ManualClock()
+    discovery = MemberDiscovery(clock)
+    budget = RetryBudget(BOUNDS, discovery)
+    for _ in range(20):
+        clock.now += 1.0
+        discovery.update(is_joined=False)
+        assert not budget.acquire(1, clock.now)
 
 
 def test_a_part_is_reserved_for_returning_callers() -> None:
     """Guard against a spent budget when a caller returns who would be refused for good."""
-    budget = RetryBudget(RetryBounds(ratio=0.2, burst=0.0, window_s=10.0), 0.0)
+    budget = RetryBudget(RetryBounds(ratio=0.2, burst=0.0, window_s=10.0), joined_discovery())
     for number in range(100):
         budget.record_request(10.0 + 0.01 * number)
     new_callers = sum(budget.acquire(1, 11.0, is_return=False) for _ in range(50))
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from berylchute.backends import Backends
+from berylchute.discovery import MemberDiscovery
 from berylchute.selection import (
     FULL_LOAD_RATIO,
     RETURN_FULL_LOAD_RATIO,
@@ -23,9 +24,8 @@
     ) -> None:
         self.clock = ManualClock()
         self.backends: Backends = make_backends(self.clock, *map(entry, names))
-        self.selector = Selector(
-            self.backends, is_cold_sender, ServerLimits("m1", self.backends, self.clock)
-        )
+        limits = ServerLimits("m1", self.backends, self.clock, MemberDiscovery(self.clock))
+        self.selector = Selector(self.backends, is_cold_sender, limits)
         self.order = list(self.backends.preference_order("s", "k"))
 
     def select(self, *tried: Server, goal_s: float = 0.3, is_return: bool = False) -> Selection:
--- a/tests/test_serverlimits.py
+++ b/tests/test_serverlimits.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from berylchute.retrybudget import MEMBER_DISCOVERY_S
+from berylchute.discovery import MEMBER_DISCOVERY_S
 from tests.limitedfleet import Fleet
 
 REQUESTS_PER_S = 240.0
@@ -77,6 +77,17 @@
     assert fleet.busiest_ratio() <= 1.0
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_members_restarted_while_cut_off_exceed_no_limit(seed: int) -> None:
+    # Guard against fresh processes that each regard themselves as the only member.
+    fleet = _limited_fleet(11, seed)
+    fleet.run(4.0, REQUESTS_PER_S)
+    for number in (0, 4, 5):
+        fleet.restart(number, is_cut_off=True)
+    fleet.run(MEMBER_DISCOVERY_S + 10.0, REQUESTS_PER_S)
+    assert fleet.busiest_ratio() <= 1.0
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_members_cut_off_from_each_other_exceed_no_limit(seed: int) -> None:
     # Guard against two halves of the fleet that each use the whole limit.
