Let servers of the soak state limits, and check them

Change: four servers at a time state a limit while callers send; from 3 s after the first request, a window of 4 s may hold 1.5 times the limit and 5 requests more, whatever happens to the edges. The limits have draws of their own, so that the other faults of a seed stay as they were.

--- a/soak/records.py
+++ b/soak/records.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-__all__ = ["Disturbance", "Records", "Request", "Run", "find_violations"]
+__all__ = ["Disturbance", "Records", "Request", "Run", "StatedLimit", "find_violations"]
 
 # Statuses which guarantee that no server has executed the request or will execute it.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -15,6 +15,12 @@
 DRAIN_LIMIT_S = 2.5
 CONFIG_DELAY_MAX_S = 2.5
 RECOVERY_S = 4.0
+# From this time after a server first stated a limit, a window may hold LIMIT_RATIO times what the
+# limit allows, and LIMIT_SLACK requests more.
+LIMIT_KNOWN_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_RATIO = 1.5
+LIMIT_SLACK = 5.0
 # Allowance for scheduling delays on a loaded machine, added to the bounds.
 SCHEDULING_SLACK_S = 0.5
 
@@ -61,6 +67,16 @@
     is_planned: bool = False
 
 
+@attrs.frozen
+class StatedLimit:
+    """A limit that a server stated for all edges together from `start_s` to `end_s`."""
+
+    server: str
+    limit_per_s: float
+    start_s: float
+    end_s: float
+
+
 @attrs.define
 class Records:
     """All records of one seed; encoded as `records.json`.
@@ -74,6 +90,7 @@
     disturbances: list[Disturbance] = attrs.Factory(list)
     drains: dict[str, float] = attrs.Factory(dict)
     routes: list[tuple[float, str]] = attrs.Factory(list)
+    limits: list[StatedLimit] = attrs.Factory(list)
 
     def has_no_unplanned_fault(self, start_s: float, end_s: float, scopes: Iterable[str]) -> bool:
         """Return whether no unplanned fault on the scopes could affect `start_s` to `end_s`.
@@ -104,6 +121,8 @@
     for request in records.requests:
         violations += _check_request(records, request, runs.get(request.request_id, []))
     violations += _check_drains(records)
+    for limit in records.limits:
+        violations += _check_limit(records, limit)
     return violations
 
 
@@ -166,3 +185,27 @@
         f"drain: {server} ran {count} requests after the drain limit"
         for server, count in late_runs.items()
     ]
+
+
+def _check_limit(records: Records, limit: StatedLimit) -> list[str]:
+    times_s = sorted(
+        run.at_s
+        for run in records.runs
+        if run.server == limit.server and limit.start_s <= run.at_s <= limit.end_s
+    )
+    # The first request shows the limit to the edges.
+    counted_s = [at_s for at_s in times_s if at_s >= times_s[0] + LIMIT_KNOWN_S]
+    allowed = LIMIT_RATIO * limit.limit_per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+    most = max(
+        (
+            bisect.bisect_left(counted_s, at_s + LIMIT_WINDOW_S) - first
+            for first, at_s in enumerate(counted_s)
+        ),
+        default=0,
+    )
+    if most <= allowed:
+        return []
+    return [
+        f"limit: {limit.server} ran {most} requests in {LIMIT_WINDOW_S:g} s with a limit of "
+        f"{limit.limit_per_s:.1f}/s stated at {limit.start_s:.2f}"
+    ]
--- a/soak/standins.py
+++ b/soak/standins.py
@@ -134,7 +134,7 @@
     Faults: `slow` takes longer. With `spoil`, ABORT_RATIO of the requests get an aborted
     connection, MALFORMED_RATIO a truncated response, as many a second response after a valid one,
     and ENDLESS_RATIO bytes that never end, in a head or in a body. `proxy_port` is the port of the
-    proxy in front of the server.
+    proxy in front of the server. `limit_per_s` is the limit of requests that it states, if any.
     """
 
     name: str
@@ -146,6 +146,7 @@
     rng: Random
     slots: int = 8
     in_flight: int = 0
+    limit_per_s: float | None = None
     faults: OverlappingFaults[str] = attrs.Factory(OverlappingFaults)
     is_draining: bool = False
     is_down: bool = False
@@ -233,7 +234,11 @@
         request = pending.request
         stamp = f"{self.name}.{next(self._stamps)}"
         headers = wire.response_headers(
-            request.request_id, stamp=stamp, in_flight=in_flight, slots=self.slots
+            request.request_id,
+            stamp=stamp,
+            in_flight=in_flight,
+            slots=self.slots,
+            limit_per_s=self.limit_per_s,
         )
         body = expected_body(request.request_id, request.body)
         draw = self.rng.random()
--- a/soak/wire.py
+++ b/soak/wire.py
@@ -213,17 +213,20 @@
     in_flight: int | None = None,
     slots: int = 0,
     is_not_run: bool = False,
+    limit_per_s: float | None = None,
 ) -> tuple[Header, ...]:
     """Return the headers of a server's response.
 
     `in_flight` and `slots` form the load report; `is_not_run` marks a request that was not
-    executed.
+    executed. `limit_per_s` is the limit that the server states for all edges together.
     """
     headers: list[Header] = [(HEADER_NAMES.request_id, request_id.encode())]
     if in_flight is not None:
         headers.append((HEADER_NAMES.server_load, b"%d,0,%d,100" % (in_flight, slots)))
     if is_not_run:
         headers.append((HEADER_NAMES.not_run, b"1"))
+    if limit_per_s is not None:
+        headers.append((HEADER_NAMES.server_limit, b"%.1f" % limit_per_s))
     if stamp:
         headers.append((STAMP_HEADER, stamp.encode()))
     return tuple(headers)
--- a/soak/world.py
+++ b/soak/world.py
@@ -16,7 +16,7 @@
 from soak.callers import Caller
 from soak.faults import OverlappingFaults
 from soak.proxy import LinkFault, Proxy
-from soak.records import Disturbance, Records
+from soak.records import Disturbance, Records, StatedLimit
 from soak.standins import ServerStandIn, StoreStandIn
 
 __all__ = ["SoakWorld"]
@@ -26,6 +26,10 @@
 ZONES = ("za", "zb")
 STARTUP_WAIT_S = 3.0
 STOP_GRACE_S = 6.0
+LIMITED_SERVERS = 4
+LIMITS_PER_S = (0.5, 4.0)
+LIMIT_DURATIONS_S = (5.0, 9.0)
+LIMITS_PAUSE_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -59,6 +63,7 @@
         self._has_unread_logs = has_unread_logs
         self._unread_pipe_fds: tuple[int, ...] = ()
         self._rng = Random(seed)
+        self._limits_rng = Random(seed)  # keeps the other faults of a seed as they were
         self._out_dir = out_dir
         ports = iter(free_ports(2 + 6 * edges + 2 * servers * 4))
         self._store_port, self._store_proxy_port = next(ports), next(ports)
@@ -87,7 +92,9 @@
                 await self._replace_process(edge, None)
             await asyncio.sleep(STARTUP_WAIT_S)
             end_s = time.monotonic() + seconds
-            await asyncio.gather(*self._make_callers(end_s), self._inject_faults(end_s - 2.0))
+            await asyncio.gather(
+                *self._make_callers(end_s), self._inject_faults(end_s - 2.0), self._limit(end_s)
+            )
         finally:
             await asyncio.gather(*(_kill_process(process) for process in self._processes))
             self._store_proxy.close()
@@ -300,6 +307,24 @@
         with server.faults.inject("spoil"), server.faults.inject("slow" if is_slow else ""):
             await asyncio.sleep(duration_s)
 
+    async def _limit(self, until_s: float) -> None:
+        """Let servers state limits of requests per second, in turn, while callers send."""
+        while time.monotonic() < until_s:
+            limited = self._limits_rng.sample(list(self._servers.values()), LIMITED_SERVERS)
+            duration_s = self._limits_rng.uniform(*LIMIT_DURATIONS_S)
+            start_s = time.monotonic()
+            for server in limited:
+                server.limit_per_s = self._limits_rng.uniform(*LIMITS_PER_S)
+            await asyncio.sleep(min(duration_s, until_s - start_s))
+            for server in limited:
+                assert server.limit_per_s is not None
+                end_s = time.monotonic()
+                self.records.limits.append(
+                    StatedLimit(server.name, server.limit_per_s, start_s, end_s)
+                )
+                server.limit_per_s = None
+            await asyncio.sleep(LIMITS_PAUSE_S)
+
     async def _change_routes(self) -> None:
         self._routes_version += 1
         service = SERVICES[self._routes_version % len(SERVICES)]
--- a/tests/test_soak_records.py
+++ b/tests/test_soak_records.py
@@ -10,6 +10,7 @@
     Records,
     Request,
     Run,
+    StatedLimit,
     find_violations,
 )
 
@@ -95,3 +96,19 @@
     assert violation_kinds(soak_records) == []
     soak_records.routes[-1] = (10.0 - CONFIG_DELAY_MAX_S - SCHEDULING_SLACK_S - 0.1, "t")
     assert violation_kinds(soak_records) == ["config"]
+
+
+@pytest.mark.parametrize(("count", "kinds"), [(17, []), (18, ["limit"])])
+def test_server_with_a_limit_gets_no_more_than_a_window_may_hold(
+    count: int, kinds: list[str]
+) -> None:
+    """Guard against a check that misses servers above their limit, or counts requests too early."""
+    first = make_run(at_s=10.0)
+    early = [make_run(at_s=12.9, request=f"e{number}") for number in range(50)]
+    late = [make_run(at_s=13.0 + 0.2 * number, request=f"q{number}") for number in range(count)]
+    soak_records = Records(
+        [Request(run.request_id, "e1", False, 10.0, status=200) for run in (first, *early, *late)],
+        [first, *early, *late],
+        limits=[StatedLimit("i-1", 2.0, 9.5, 20.0)],
+    )
+    assert violation_kinds(soak_records) == kinds
