--- a/tests/test_serverlimits.py
+++ b/tests/test_serverlimits.py
@@ -100,7 +100,7 @@
     assert fleet.busiest_ratio() <= 1.0
 
 
-@pytest.mark.parametrize("member_count", [11, 61])
+@pytest.mark.parametrize("member_count", [11, 61, 195])
 def test_limited_servers_get_half_of_their_limit_or_more(member_count: int) -> None:
     # Guard against requests that are refused while limited servers accept more.
     fleet = _limited_fleet(member_count, seed=1)
