--- a/berylchute/attempts.py
+++ b/berylchute/attempts.py
@@ -50,10 +50,9 @@
     """A request in flight.
 
     `deadline_s` is a time of the process's clock. `is_return` means that the caller was probably
-    refused before. `may_have_run` means that a server may have
-    processed the request, so the caller must not be told that it did not run. `failed_answer` is
-    the server error that caused a retry. `retry_cause` is the cause of
-    the next attempt, empty before the first failed one.
+    refused before. `may_have_run` means that a server may have processed the request, so it must
+    not be refused as not run. `failed_answer` is the server error that caused a retry.
+    `retry_cause` is the cause of the next attempt, empty before the first failed one.
     """
 
     pending: PendingRequest
@@ -83,7 +82,7 @@
     """Encode a request for a server.
 
     The deadline header holds the remaining time in milliseconds, at least 1. A request without an
-    id needs a new connection: nothing else tells its answer from a repeat of an earlier one.
+    id needs a new connection, since its answer could not be distinguished from a repeated one.
     """
     request = active.request
     remaining_ms = max(1, int((active.deadline_s - now_s) * 1000.0))
