Assume members in zones of which a process has never heard

Same class as the stated limits: a bound for all members together that a member keeps by its own view alone. Callers would see: servers in need that get more than they accept, a cold server with a sender in each region, and more retries than the budget, when all processes of a region restart while it is cut off from the others. Cause: such processes hear of one another, so that 5 s later they regard themselves as all members and divide each bound among their own region only. Members elsewhere keep their shares. Change: discovery assumes members in each zone of the settings from which none was ever heard of, as many as in the largest known zone. Shares of limits, senders to cold servers and shares of the retry burst count them. Members that are gone or have left are known, so nothing is assumed beside them. Why it works: the assumed members hold the parts that the real ones on the other side keep.

--- a/berylchute/assignments.py
+++ b/berylchute/assignments.py
@@ -37,9 +37,9 @@
 class ColdSenderSelector:
     """Select the one member that sends to a cold server, among those of the server's region.
 
-    Members of other regions don't take over: they may only be cut off from that region. A process
-    that does not know the other members sends nothing. Selections are cached until the candidates
-    change.
+    Members of other regions don't take over: they may only be cut off from that region, even if
+    they have not heard of its members. A process that does not know the other members sends
+    nothing. Selections are cached until the candidates change.
     """
 
     def __init__(self, own_host_id: str, discovery: MemberDiscovery) -> None:
@@ -82,6 +82,7 @@
             if status.state is not MemberState.GONE
         ]
         regions = frozenset(status.record.region for status in staying)
+        regions = regions.union(self._discovery.assumed_regions(members).values())
         if candidates != self._candidates or regions != self._regions:
             self._candidates, self._regions = candidates, regions
             self._is_sender.clear()
--- a/berylchute/discovery.py
+++ b/berylchute/discovery.py
@@ -1,8 +1,10 @@
-"""Decide when a process knows the members that share a bound with it."""
+"""Decide when a process knows the members that share a bound with it, and assume those it can't."""
 
 import math
+from collections import Counter
+from collections.abc import Mapping, Sequence
 
-from berylchute.types import Clock
+from berylchute.types import Clock, MemberStatus
 
 __all__ = ["MEMBER_DISCOVERY_S", "MemberDiscovery"]
 
@@ -11,15 +13,20 @@
 
 
 class MemberDiscovery:
-    """Whether this process knows the other members.
+    """Whether this process knows the other members, and which it has to assume.
 
-    It does some time after it has joined them. Until then it takes no share of a bound that holds
-    for all members together: a process that starts cut off from the others seems to be alone.
+    It knows them some time after it has joined them. Until then it takes no share of a bound that
+    holds for all members together: a process that starts cut off from the others seems to be alone.
+    Processes that start cut off together hear of one another only, so members are assumed in each
+    availability zone of `zone_regions` from which none was ever heard of.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, zone_regions: Mapping[str, str] | None = None) -> None:
         self._clock = clock
+        self._zone_regions = zone_regions or {}
         self._joined_at_s = math.inf
+        self._members: Sequence[MemberStatus] = ()
+        self._assumed: Mapping[str, str] = {}
 
     def update(self, *, is_joined: bool) -> None:
         """Take over whether this process has joined the other members; call it periodically."""
@@ -29,3 +36,25 @@
     def is_complete(self) -> bool:
         """Return whether the members are known."""
         return self._clock.now_s() - self._joined_at_s > MEMBER_DISCOVERY_S
+
+    def assumed_regions(self, members: Sequence[MemberStatus]) -> Mapping[str, str]:
+        """Return the regions of the members assumed beside the known ones, by invented host id."""
+        if members is not self._members:
+            self._members = members
+            self._assumed = self._assume(members)
+        return self._assumed
+
+    def count_members(self, members: Sequence[MemberStatus]) -> int:
+        """Return the number of known and assumed members."""
+        return len(members) + len(self.assumed_regions(members))
+
+    def _assume(self, members: Sequence[MemberStatus]) -> Mapping[str, str]:
+        known = Counter(status.record.availability_zone for status in members)
+        # The size of the other zones is unknown; too many members only leave a part unused.
+        zone_size = max(known.values(), default=0)
+        return {
+            f"{zone}/{number}": region
+            for zone, region in self._zone_regions.items()
+            if zone not in known
+            for number in range(zone_size)
+        }
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -109,7 +109,7 @@
             AnswerMemory(settings.node.host.memory_mb),
         )
         self._directory = Directory()
-        self._discovery = MemberDiscovery(self._clock)
+        self._discovery = MemberDiscovery(self._clock, settings.zone_regions)
         self._cold_sender_selector = ColdSenderSelector(host, self._discovery)
         self._server_limits = ServerLimits(host, self._backends, self._clock, self._discovery)
         self._background_tasks = BackgroundTasks()
@@ -148,7 +148,7 @@
             log=self._log,
             metrics=self._metrics,
             retry_bounds=self._settings.retry_bounds,
-            member_count=lambda: len(self._node.members.list_members()),
+            member_count=lambda: self._discovery.count_members(self._node.members.list_members()),
             discovery=self._discovery,
             region_of_zone=lambda zone: self._settings.zone_regions.get(zone, ""),
         )
--- a/berylchute/serverlimits.py
+++ b/berylchute/serverlimits.py
@@ -30,7 +30,7 @@
 
     Each member gets a share of the limit by the part of its region's keys that belongs to the
     server's region. Members that are gone keep their shares unless they announced that they leave:
-    they may only be cut off from this member.
+    they may only be cut off from this member. So do members that are only assumed.
     """
 
     def __init__(
@@ -50,6 +50,7 @@
         self._reports.update_members(members, self._backends.all_servers())
         records = [status.record for status in members]
         regions = {record.host_id: record.region for record in records if not record.leaving}
+        regions.update(self._discovery.assumed_regions(members))
         if regions != self._regions or self._index_number != self._backends.index_number:
             self._regions = regions
             self._index_number = self._backends.index_number
--- a/tests/limitedfleet.py
+++ b/tests/limitedfleet.py
@@ -3,7 +3,7 @@
 import heapq
 import itertools
 import os
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from random import Random
 
 import attrs
@@ -41,17 +41,17 @@
 
     def __init__(self, fleet: "Fleet", name: str, zone: str) -> None:
         self.name, self.zone = name, zone
-        self.started_s = fleet.clock.now
         self.published: Mapping[str, float] = {}
         # Names of the members that this one regards as gone.
         self.cut_off: frozenset[str] = frozenset()
-        self.has_joined = not self.started_s
+        # Names of the members of which this one has never heard.
+        self.unheard_of: frozenset[str] = frozenset()
         self._fleet = fleet
         self.backends = Backends(fleet.clock, zone, ZONE_REGIONS)
         policy = ServicePolicy("s", 390, warmup_s=3.0, cold_rate_per_s=10.0)
         self.backends.configure(RouteTable(1, (), (policy,), CallerLimits()))
         self.backends.update_servers(fleet.server_list)
-        self.discovery = MemberDiscovery(fleet.clock)
+        self.discovery = MemberDiscovery(fleet.clock, ZONE_REGIONS)
         self.limits = ServerLimits(name, self.backends, fleet.clock, self.discovery)
         self.selector = Selector(self.backends, lambda _: True, self.limits)
         self.tracker = ServerTracker(self.backends, HeaderNames(), fleet.clock, fleet.log)
@@ -59,14 +59,11 @@
     def update_view(self) -> None:
         """Take over what the other members publish, and publish the own limits."""
         statuses = self._fleet.statuses(self)
-        self.discovery.update(is_joined=len(statuses) == len(self._fleet.members))
+        is_alone = len(self._fleet.members) == 1
+        self.discovery.update(is_joined=is_alone or len(statuses) > 1)
         self.limits.update_members(statuses)
         self.published = self.limits.limits_to_report()
 
-    def join(self) -> None:
-        """Receive the records of the other members from now on."""
-        self.has_joined = True
-
     def request(self, key: str, *, is_return: bool = False) -> None:
         """Send a caller's request to the selected server, if there is one."""
         now_s = self._fleet.clock.now
@@ -119,12 +116,11 @@
         self._update_views()
 
     def statuses(self, reader: FleetMember) -> Sequence[MemberStatus]:
-        """Return the member list as `reader` sees it: a fresh process knows only itself."""
-        if not reader.has_joined:
-            return [self._published[reader.name]]
+        """Return the member list as `reader` sees it."""
         return [
             attrs.evolve(status, state=MemberState.GONE) if name in reader.cut_off else status
             for name, status in self._published.items()
+            if name not in reader.unheard_of
         ]
 
     def state_limits(self, limit_per_s: float | None, *server_ids: str) -> None:
@@ -134,11 +130,31 @@
             server.limit_per_s, server.stated_at_s = limit_per_s, self.clock.now
 
     def restart(self, number: int, *, is_cut_off: bool = False) -> None:
-        """Replace a member by a fresh process with the same name, which joins unless cut off."""
+        """Replace a member by a fresh process with the same name, which joins unless cut off.
+
+        It knows only itself at first, and the others after JOIN_S.
+        """
+        self._replace(number, known=() if is_cut_off else [other.name for other in self.members])
+
+    def restart_region(self, region: str) -> None:
+        """Cut off a region's members and restart them: they know each other, but no one else."""
+        names = {m.name for m in self.members if ZONE_REGIONS[m.zone] == region}
+        for number, old in enumerate(self.members):
+            if old.name in names:
+                self._replace(number, known=names)
+            else:
+                old.cut_off = frozenset(names)
+
+    def _replace(self, number: int, known: Collection[str]) -> None:
         old = self.members[number]
         fresh = self.members[number] = FleetMember(self, old.name, old.zone)
-        if not is_cut_off:
-            self.call_later(JOIN_S, fresh.join)
+        others = {other.name for other in self.members} - {old.name}
+        fresh.unheard_of = frozenset(others)
+
+        def join() -> None:
+            fresh.unheard_of = frozenset(others.difference(known))
+
+        self.call_later(JOIN_S, join)
 
     def run(self, seconds: float, requests_per_s: float, *, is_return: bool = False) -> None:
         """Let callers send requests to random members, new or (`is_return`) refused before."""
--- a/tests/test_assignments.py
+++ b/tests/test_assignments.py
@@ -64,7 +64,8 @@
         self.clock.now += MEMBER_DISCOVERY_S + 0.1
 
     def restart(self) -> None:
-        self.discovery = MemberDiscovery(self.clock)
+        zone_regions = {"za": "ra", "zb": "rb", "zc": "rc"}
+        self.discovery = MemberDiscovery(self.clock, zone_regions)
         self.selectors = {name: ColdSenderSelector(name, self.discovery) for name in NAMES}
 
     def join(self) -> None:
@@ -74,7 +75,12 @@
         self, *names: str, lost: Collection[str] = (), state: MemberState = MemberState.GONE
     ) -> list[MemberStatus]:
         return [
-            member(n, "za", self.regions[n], state=state if n in lost else MemberState.LIVE)
+            member(
+                n,
+                f"z{self.regions[n][1]}",
+                self.regions[n],
+                state=state if n in lost else MemberState.LIVE,
+            )
             for n in names or NAMES
         ]
 
@@ -141,6 +147,15 @@
         assert len(fleet.senders(f"i-{number}", views.__getitem__)) == 1
 
 
+def test_region_that_starts_cut_off_sends_nothing_to_cold_servers_of_others() -> None:
+    # Guard against a second sender among fresh processes that never heard of the server's region.
+    fleet = _ColdSenders()
+    of_region = {r: [n for n in NAMES if fleet.regions[n] == r] for r in ("ra", "rb", "rc")}
+    known = {n: fleet.statuses(*of_region[fleet.regions[n]]) for n in NAMES}
+    for number in range(20):
+        assert len(fleet.senders(f"i-{number}", known.__getitem__)) == 1
+
+
 def test_members_that_suspect_each_other_have_one_sender_together() -> None:
     # Guard against several senders while members miss heartbeats of one another.
     fleet = _ColdSenders()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,7 +1,11 @@
 """Check when a process knows the other members."""
 
 from berylchute.discovery import MEMBER_DISCOVERY_S, MemberDiscovery
+from berylchute.types import MemberState
 from tests.httpfakes import ManualClock
+from tests.test_directory import member
+
+ZONE_REGIONS = {"za": "ra", "zb": "ra", "zc": "rc"}
 
 
 def test_members_are_known_some_time_after_the_process_has_joined() -> None:
@@ -15,3 +19,23 @@
     clock.now += MEMBER_DISCOVERY_S + 0.1
     discovery.update(is_joined=True)
     assert discovery.is_complete()
+
+
+def test_members_are_assumed_in_zones_that_were_never_heard_of() -> None:
+    """Guard against bounds divided among the members of the own side of a cut only."""
+    discovery = MemberDiscovery(ManualClock(), ZONE_REGIONS)
+    own_side = [member("m1", "za", "ra"), member("m2", "za", "ra"), member("m3", "zb", "ra")]
+    assert list(discovery.assumed_regions(own_side).values()) == ["rc", "rc"]
+    assert discovery.count_members(own_side) == 5
+
+
+def test_no_members_are_assumed_where_some_were_heard_of() -> None:
+    """Guard against shares for invented members after those of a zone are lost or have left."""
+    discovery = MemberDiscovery(ManualClock(), ZONE_REGIONS)
+    members = [
+        member("m1", "za", "ra"),
+        member("m2", "zb", "ra", state=MemberState.GONE),
+        member("m3", "zc", "rc", leaving=True),
+    ]
+    assert not discovery.assumed_regions(members)
+    assert discovery.count_members(members) == 3
--- a/tests/test_serverlimits.py
+++ b/tests/test_serverlimits.py
@@ -88,6 +88,20 @@
     assert fleet.busiest_ratio() <= 1.0
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("region", ["ra", "rb"])
+@pytest.mark.parametrize("member_count", [11, 61])
+def test_region_restarted_while_cut_off_exceeds_no_limit(
+    member_count: int, region: str, seed: int
+) -> None:
+    # Guard against fresh processes that divide a whole limit among those that they have heard of.
+    fleet = _limited_fleet(member_count, seed)
+    fleet.run(4.0, REQUESTS_PER_S)
+    fleet.restart_region(region)
+    fleet.run(MEMBER_DISCOVERY_S + 12.0, REQUESTS_PER_S)
+    assert fleet.busiest_ratio() <= 1.0
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_members_cut_off_from_each_other_exceed_no_limit(seed: int) -> None:
     # Guard against two halves of the fleet that each use the whole limit.
