Keep to a stated limit after an answer with an unreadable one

Callers would see: a server in need that gets an unbounded number of requests again, and requests that wait in its queue, after one answer with a damaged limit header. Cause: a header that can't be read was treated like a missing one, which ends a limit, and members reported this end to each other. Change: such an answer neither begins nor ends a limit. Evidence: test_unreadable_limit_does_not_end_one failed in all of its six cases before.

--- a/berylchute/servertracker.py
+++ b/berylchute/servertracker.py
@@ -65,7 +65,10 @@
         server.record_success(now_s)
 
     def _record_rate_limit(self, server: Server, answer: ServerAnswer, sent_s: float) -> None:
-        limit_per_s = parse_rate_limit(answer.find_header(self._header_names.server_limit))
+        stated = answer.find_header(self._header_names.server_limit)
+        limit_per_s = parse_rate_limit(stated)
+        if limit_per_s is None and stated is not None:
+            return  # unreadable: neither a limit nor the end of one
         is_limited = server.rate_limit_per_s is not None
         if limit_per_s is None and is_limited and sent_s < server.rate_limit_at_s:
             return  # the server may have written this answer before the limit began
--- a/tests/test_servertracker.py
+++ b/tests/test_servertracker.py
@@ -55,6 +55,20 @@
     assert server.rate_limit_per_s is None
 
 
+@pytest.mark.parametrize("value", [b"", b"x", b"-1", b"nan", b"inf", b"1,2"])
+def test_unreadable_limit_does_not_end_one(value: bytes) -> None:
+    # Guard against a burst to a server in need after an answer with a damaged header.
+    clock = ManualClock()
+    backends = make_backends(clock, entry("i-1"))
+    (server,) = backends.of_service("s")
+    log = EventLog(os.open(os.devnull, os.O_WRONLY), "h")
+    tracker = ServerTracker(backends, HeaderNames(), clock, log)
+    for limit in (b"9", value):
+        clock.now += 0.5
+        tracker.record_answer(server, _answer(limit), 0.1)
+    assert server.rate_limit_per_s == 9.0
+
+
 @pytest.mark.parametrize("value", [None, b"", b"x", b"-1", b"nan", b"inf", b"1,2"])
 def test_unreadable_limit_is_no_limit(value: bytes | None) -> None:
     # Guard against an error or an endless limit from a malformed header.
