--- a/tests/test_serverlimits.py
+++ b/tests/test_serverlimits.py
@@ -55,6 +55,19 @@
     assert fleet.busiest_ratio() <= 1.0
 
 
+@pytest.mark.parametrize("pause_s", [0.2, 0.5, 1.0])
+@pytest.mark.parametrize("member_count", [61, 195])
+def test_limit_that_returns_after_a_pause_is_kept(member_count: int, pause_s: float) -> None:
+    # Guard against reports of an end that override the limit that the server states again.
+    fleet = _limited_fleet(member_count, seed=1)
+    fleet.run(4.0, 4 * REQUESTS_PER_S)
+    fleet.state_limits(None)
+    fleet.run(pause_s, 4 * REQUESTS_PER_S)
+    fleet.state_limits(12.0, "i-0", "i-1", "i-2", "i-6")
+    fleet.run(5.0, 4 * REQUESTS_PER_S)
+    assert fleet.busiest_ratio() <= 1.0
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_crowd_of_returning_callers_exceeds_no_high_limit(seed: int) -> None:
     # Guard against advances to returning callers that add up to more than the window may hold.
