Keep one share per server that states limits

Operators would see: a host whose memory grows until it is killed, and callers that lose their connections, when a faulty server states another limit in each answer. Cause: shares were cached by server and limit until members or servers changed. Change: only the share of the last limit of each server is cached. Evidence: test_server_that_states_ever_new_limits_takes_no_more_memory failed before (536 kB for 3,000 limits, bound 100 kB).

--- a/berylchute/serverlimits.py
+++ b/berylchute/serverlimits.py
@@ -43,7 +43,7 @@
         self._regions: Mapping[str, str] = {}
         self._index_number = 0
         self._weights: dict[tuple[str, str], Mapping[str, float]] = {}
-        self._shares: dict[tuple[str, float], SenderShare] = {}
+        self._shares: dict[str, tuple[float, SenderShare]] = {}
 
     def update_members(self, members: Sequence[MemberStatus]) -> None:
         """Take over the members, and the limits that they report; call it periodically."""
@@ -84,12 +84,12 @@
     def _share(self, server: Server, limit_per_s: float) -> SenderShare:
         if not self._discovery.is_complete():
             return SenderShare()  # unknown among how many members the limit is divided
-        key = (server.entry.server_id, limit_per_s)
-        share = self._shares.get(key)
-        if share is None:
-            weights = self._weights_at(server)
-            shares = divide_rate(server.entry.server_id, weights, limit_per_s * BURST_S)
-            share = self._shares[key] = shares.get(self._own_host_id, SenderShare())
+        server_id = server.entry.server_id
+        known_limit_per_s, share = self._shares.get(server_id, (None, SenderShare()))
+        if known_limit_per_s != limit_per_s:
+            shares = divide_rate(server_id, self._weights_at(server), limit_per_s * BURST_S)
+            share = shares.get(self._own_host_id, SenderShare())
+            self._shares[server_id] = (limit_per_s, share)
         return share
 
     def _weights_at(self, server: Server) -> Mapping[str, float]:
--- a/tests/test_serverlimits.py
+++ b/tests/test_serverlimits.py
@@ -1,5 +1,7 @@
 """Check that all members together keep to the limits that servers state."""
 
+import tracemalloc
+
 import pytest
 
 from berylchute.discovery import MEMBER_DISCOVERY_S
@@ -154,3 +156,17 @@
     fleet.run(MEMBER_DISCOVERY_S - 0.5, REQUESTS_PER_S)
     limited = [server for server in fresh.backends.of_service("s") if server.bucket is not None]
     assert limited and all(server.bucket and server.bucket.tokens <= 0.0 for server in limited)
+
+
+def test_server_that_states_ever_new_limits_takes_no_more_memory() -> None:
+    # Guard against a process that runs out of memory by keeping a share for each value of a limit.
+    fleet = _limited_fleet(11, seed=1)
+    (server,) = [s for s in fleet.members[0].backends.of_service("s") if s.entry.server_id == "i-0"]
+    tracemalloc.start()
+    for number in range(3_000):
+        server.rate_limit_per_s = 1.0 + number / 1_000.0
+        server.rate_limit_at_s = fleet.clock.now
+        fleet.members[0].limits.may_send(server, fleet.clock.now)
+    used_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert used_bytes < 100_000
