--- a/berylchute/limitreports.py
+++ b/berylchute/limitreports.py
@@ -44,7 +44,7 @@
 
 @attrs.define
 class _ReportedLimit:
-    """A limit as others report it: newly at `first_at_s`, and last at `reported_at_s`."""
+    """A limit as others report it: first at `first_at_s`, and last at `reported_at_s`."""
 
     limit_per_s: float
     first_at_s: float
