--- a/tests/test_assignments.py
+++ b/tests/test_assignments.py
@@ -1,10 +1,11 @@
 """Check which members watch the store and which one sends to a cold server."""
 
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 
 import pytest
 
 from berylchute.assignments import WATCHER_COUNT, ColdSenderSelector, should_watch_store
+from berylchute.backends import COLD_RATE_RATIO
 from berylchute.discovery import MEMBER_DISCOVERY_S, MemberDiscovery
 from berylchute.types import MemberState, MemberStatus
 from tests.httpfakes import ManualClock
@@ -56,16 +57,16 @@
 class _ColdSenders:
     """The members of three regions and what each decides about cold servers of region ra."""
 
-    def __init__(self) -> None:
+    def __init__(self, further_zones: Mapping[str, str] | None = None) -> None:
         self.clock = ManualClock()
+        self.zone_regions = {"za": "ra", "zb": "rb", "zc": "rc", **(further_zones or {})}
         self.regions = {name: "rarbrc"[2 * (n % 3) :][:2] for n, name in enumerate(NAMES)}
         self.restart()
         self.join()
         self.clock.now += MEMBER_DISCOVERY_S + 0.1
 
     def restart(self) -> None:
-        zone_regions = {"za": "ra", "zb": "rb", "zc": "rc"}
-        self.discovery = MemberDiscovery(self.clock, zone_regions)
+        self.discovery = MemberDiscovery(self.clock, self.zone_regions)
         self.selectors = {name: ColdSenderSelector(name, self.discovery) for name in NAMES}
 
     def join(self) -> None:
@@ -156,6 +157,20 @@
         assert len(fleet.senders(f"i-{number}", known.__getitem__)) == 1
 
 
+def test_configured_region_without_members_has_a_sender() -> None:
+    # Guard against a cold server without requests where the settings name a region without hosts.
+    fleet = _ColdSenders({"zd": "rd"})
+    everyone = fleet.statuses()
+    assert len(fleet.senders("i-1", lambda _: everyone, region="rd")) == 1
+
+
+def test_members_of_a_region_cut_off_singly_exceed_no_cold_rate() -> None:
+    # Guard against a sender on each side when members of a region seem to be gone to one another.
+    fleet = _ColdSenders()
+    views = {name: fleet.statuses(lost=[n for n in NAMES if n != name]) for name in NAMES}
+    assert len(fleet.senders("i-1", views.__getitem__)) * COLD_RATE_RATIO <= 1.5
+
+
 def test_members_that_suspect_each_other_have_one_sender_together() -> None:
     # Guard against several senders while members miss heartbeats of one another.
     fleet = _ColdSenders()
