--- a/berylchute/backends.py
+++ b/berylchute/backends.py
@@ -154,8 +154,8 @@
         )
         shares_by_region = self._region_shares.get(service, {})
         region = region_of_key(key, shares_by_region.get(self._own_region, ()))
-        near = [server for server in servers if self._region_of(server) == region]
-        far = [server for server in servers if self._region_of(server) != region]
+        near = [server for server in servers if self.region_of(server) == region]
+        far = [server for server in servers if self.region_of(server) != region]
         if is_upload:
             near.sort(key=lambda server: server.entry.availability_zone != self._own_zone)
         return [*near[:LOCAL_SERVERS_FIRST], *far, *near[LOCAL_SERVERS_FIRST:]]
@@ -163,10 +163,11 @@
     def region_share(self, server: Server, region: str) -> float:
         """Return the share (0 to 1) of a region's keys that belong to a server's region."""
         shares = self._region_shares.get(server.entry.service, {}).get(region, ())
-        server_region = self._region_of(server)
+        server_region = self.region_of(server)
         return sum(share.share for share in shares if share.region == server_region)
 
-    def _region_of(self, server: Server) -> str:
+    def region_of(self, server: Server) -> str:
+        """Return the region of a server, empty if its availability zone is unknown."""
         return self._zone_regions.get(server.entry.availability_zone, "")
 
     def record_recovery(self, server: Server, now_s: float) -> None:
@@ -273,7 +274,7 @@
         slots: dict[str, float] = {}
         for server in servers:
             if self.may_receive(server):
-                region = self._region_of(server)
+                region = self.region_of(server)
                 slots[region] = slots.get(region, 0.0) + server.entry.slots
         return slots
 
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -24,6 +24,7 @@
 from berylchute.headernames import HeaderNames
 from berylchute.membership import MembershipTiming
 from berylchute.node import BootClock, Node
+from berylchute.regionsends import RegionSends
 from berylchute.requesthandler import RequestHandler
 from berylchute.retrybudget import RetryBounds
 from berylchute.routeindex import RouteIndex
@@ -114,6 +115,7 @@
         self._server_limits = ServerLimits(host, self._backends, self._clock, self._discovery)
         self._background_tasks = BackgroundTasks()
         self._metrics = EdgeMetrics()
+        self._region_sends = RegionSends(self._clock)
         self._feeds = [
             CollectionFeed(
                 collection,
@@ -151,6 +153,7 @@
             member_count=lambda: self._discovery.count_members(self._node.members.list_members()),
             discovery=self._discovery,
             region_of_zone=lambda zone: self._settings.zone_regions.get(zone, ""),
+            region_sends=self._region_sends,
         )
 
     @property
@@ -260,6 +263,9 @@
             self._backends.close_expired()
             self._handler.prepare_connections()
             self._report_ready()
+            sends = self._region_sends.take_report()
+            if sends is not None:
+                self._log.event("region_sends", sends=sends)
             watching = all(feed.is_connected for feed in self._feeds)
             if watching is not is_watching:
                 is_watching = watching
@@ -360,6 +366,7 @@
             },
             store_calls={feed.name: feed.calls for feed in self._feeds},
             store_failures={feed.name: feed.failures for feed in self._feeds},
+            region_sends=self._region_sends.counts,
             connections_opened=self._backends.connections_opened(),
             log_lines_dropped_full=self._log.lines_dropped_buffer_full,
             log_lines_dropped_rate=self._log.lines_dropped_over_rate,
--- a/berylchute/edgemetrics.py
+++ b/berylchute/edgemetrics.py
@@ -20,7 +20,8 @@
     """The state of the edge program when metrics are collected.
 
     `object_ages_s` maps each shared object to the time since this process applied its last change.
-    `store_calls` and `store_failures` count by collection.
+    `store_calls` and `store_failures` count by collection, `region_sends` by service, region of the
+    server and reason why the first server of the key was not selected.
     """
 
     requests_in_flight: int = 0
@@ -32,6 +33,7 @@
     object_ages_s: Mapping[str, float] = attrs.field(factory=dict)
     store_calls: Mapping[str, int] = attrs.field(factory=dict)
     store_failures: Mapping[str, int] = attrs.field(factory=dict)
+    region_sends: Mapping[tuple[str, str, str], int] = attrs.field(factory=dict)
     connections_opened: int = 0
     log_lines_dropped_full: int = 0
     log_lines_dropped_rate: int = 0
@@ -115,9 +117,18 @@
     for family, counts in ((calls, state.store_calls), (failures, state.store_failures)):
         for collection, count in counts.items():
             family.add_metric([collection], count)
+    region_sends = CounterMetricFamily(
+        "berylchute_edge_region_sends",
+        "Sends by service, region of the server and why the key's first server was skipped.",
+        None,
+        ("service", "region", "skip_reason"),
+    )
+    for labels, count in state.region_sends.items():
+        region_sends.add_metric(labels, count)
     return [
         calls,
         failures,
+        region_sends,
         CounterMetricFamily(
             "berylchute_edge_server_connections",
             "Connections opened to backend servers.",
--- a/berylchute/requesthandler.py
+++ b/berylchute/requesthandler.py
@@ -16,6 +16,7 @@
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import ExchangeError, NotSent
 from berylchute.headernames import HeaderNames
+from berylchute.regionsends import RegionSends
 from berylchute.retryafter import STARTING_RETRY_AFTER_S, choose_delay_s, make_retry_after
 from berylchute.retrybudget import RetryBounds, RetryBudget
 from berylchute.returns import ReturnDetector
@@ -59,6 +60,7 @@
         member_count: Callable[[], int],
         discovery: MemberDiscovery,
         region_of_zone: Callable[[str], str],
+        region_sends: RegionSends,
     ) -> None:
         self._header_names = header_names
         self._routes = routes
@@ -73,6 +75,7 @@
         self.retry_bounds = retry_bounds
         self._member_count = member_count
         self._region_of_zone = region_of_zone
+        self._region_sends = region_sends
         self._discovery = discovery
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._returns = ReturnDetector()
@@ -180,6 +183,8 @@
         server.in_flight += 1
         self._selector.record_send(server, now_s)
         self._metrics.sends.inc()
+        skip_reason = selection.skip_reason or ""
+        self._region_sends.record(active.service, self._backends.region_of(server), skip_reason)
         if server.rate_limit_per_s is not None:
             self._metrics.limited_sends.inc()
         if self._backends.should_open_spare(server, self._member_count):
--- a/berylchute/selection.py
+++ b/berylchute/selection.py
@@ -10,7 +10,7 @@
 from berylchute.serverlimits import ServerLimits
 from berylchute.servers import Server
 
-__all__ = ["NoServerReason", "Selection", "Selector"]
+__all__ = ["NoServerReason", "Selection", "Selector", "SkipReason"]
 
 # Servers that hold a key's objects; the second one is used when the first is full. A third one
 # would spread the objects over too many servers (docs/MEASUREMENTS.md).
@@ -38,13 +38,25 @@
     RATE_LIMITED = "rate_limited"
 
 
+class SkipReason(StrEnum):
+    """Why the first server of a key was not selected; the values appear in events and metrics."""
+
+    UNUSABLE = "unusable"
+    COLD = "cold"
+    TRIED = "tried"
+    OTHER_ZONE = "other_zone"
+    RATE_LIMITED = "rate_limited"
+    FULL = "full"
+    LATE = "late"
+
+
 @attrs.frozen
 class Selection:
     """The selected server or the reason why there is none.
 
     `load` is that of the selected server, or the least load of the full ones. `rank` is the
     position of the server in the preference order of the key. `report_age_s` is infinite if the
-    server has not reported its load.
+    server has not reported its load. `skip_reason` is None if the server is the first of the key.
     """
 
     server: Server | None
@@ -52,6 +64,7 @@
     load: float = 0.0
     report_age_s: float = 0.0
     rank: int = 0
+    skip_reason: SkipReason | None = None
 
 
 class Selector:
@@ -91,35 +104,41 @@
         considered = limited_count = 0
         least_load = math.inf
         late_selection: Selection | None = None
+        skip_reason: SkipReason | None = None
         for rank, server in enumerate(
             self._backends.preference_order(service, key, is_upload=is_upload)
         ):
             if considered == PREFERRED_SERVERS:
                 break
-            if not self._may_use(server, now_s) or server.entry.server_id in tried_ids:
-                continue
-            if not is_allowed_zone(server.entry.availability_zone):
+            unusable_reason = self._unusable_reason(server, is_allowed_zone, tried_ids, now_s)
+            if unusable_reason is not None:
+                skip_reason = skip_reason or unusable_reason
                 continue
             if not self._limits.may_send(server, now_s, is_return=is_return):
                 limited_count += 1
+                skip_reason = skip_reason or SkipReason.RATE_LIMITED
                 continue
             if considered + limited_count >= PREFERRED_SERVERS:
                 if server.bucket is not None:
                     continue  # its limit is for the keys that it holds
                 full_ratio = LIMIT_SUBSTITUTE_LOAD_RATIO
             if server.is_cold(now_s) and not self._backends.acquire_cold_send(server, now_s):
+                skip_reason = skip_reason or SkipReason.COLD
                 continue
             considered += 1
             load = server.load(now_s)
             if load < full_ratio * server.entry.slots:
-                selection = Selection(server, None, load, now_s - server.reported_at_s, rank)
+                report_age_s = now_s - server.reported_at_s
+                selection = Selection(server, None, load, report_age_s, rank, skip_reason)
                 if late_selection is None and server.is_likely_late(goal_s, now_s):
                     # Another server may answer in time, even if it holds no objects of the key.
                     late_selection = selection
+                    skip_reason = skip_reason or SkipReason.LATE
                     continue
                 if late_selection is None or load < SUBSTITUTE_LOAD_RATIO * server.entry.slots:
                     return selection
             least_load = min(least_load, load)
+            skip_reason = skip_reason or SkipReason.FULL
         if late_selection is not None:
             return late_selection
         if limited_count:
@@ -133,9 +152,20 @@
         server.sends += 1
         self._limits.record_send(server, now_s)
 
-    def _may_use(self, server: Server, now_s: float) -> bool:
+    def _unusable_reason(
+        self,
+        server: Server,
+        is_allowed_zone: Callable[[str], bool],
+        tried_ids: Collection[str],
+        now_s: float,
+    ) -> SkipReason | None:
+        """Return why a server can't be used for a request, whatever its load; None if it can."""
         if not self._backends.may_receive(server) or now_s < server.backoff_until_s:
-            return False
+            return SkipReason.UNUSABLE
         if server.failures and server.in_flight:
-            return False  # one request in flight probes a server that failed
-        return not server.is_cold(now_s) or self._is_cold_sender(server)
+            return SkipReason.UNUSABLE  # one request in flight probes a server that failed
+        if server.is_cold(now_s) and not self._is_cold_sender(server):
+            return SkipReason.COLD
+        if server.entry.server_id in tried_ids:
+            return SkipReason.TRIED
+        return None if is_allowed_zone(server.entry.availability_zone) else SkipReason.OTHER_ZONE
--- a/tests/test_requesthandler.py
+++ b/tests/test_requesthandler.py
@@ -22,6 +22,7 @@
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import AnswerInvalid, AnswerLost, NotSent
 from berylchute.headernames import HeaderNames
+from berylchute.regionsends import RegionSends
 from berylchute.requesthandler import RequestHandler
 from berylchute.retrybudget import RetryBounds
 from berylchute.routeindex import RouteIndex
@@ -177,6 +178,7 @@
             member_count=lambda: 1,
             discovery=discovery,
             region_of_zone=lambda _: "ra",
+            region_sends=RegionSends(clock),
         )
 
     @property
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -11,6 +11,7 @@
     NoServerReason,
     Selection,
     Selector,
+    SkipReason,
 )
 from berylchute.serverlimits import ServerLimits
 from berylchute.servers import ReportedLoad, Server
@@ -47,7 +48,9 @@
     harness = _Harness("i-1", "i-2", "i-3")
     assert harness.select().server is harness.order[0]
     harness.order[0].in_flight = int(FULL_LOAD_RATIO * harness.order[0].entry.slots)
-    assert harness.select().server is harness.order[1]
+    second = harness.select()
+    assert second.server is harness.order[1]
+    assert second.skip_reason is SkipReason.FULL
     harness.order[1].in_flight = int(FULL_LOAD_RATIO * harness.order[1].entry.slots)
     # A third server would not hold the key's objects.
     assert harness.select().no_server_reason is NoServerReason.ALL_FULL
