Keep the keys of an unusable server in their region

Cause: a key's second server was always the first one of another region. While the first server is gone, failed, draining or cold, its keys left their region, and returned at once when the entry expired (all keys at the same moment, if entries expire together) or when the server was warm.

Now the first usable server of the key's own region comes first. It is the one that the key gets when the entry expires. test_keys_of_an_unusable_server_stay_in_their_region failed before (a server of another region).

--- a/berylchute/attempts.py
+++ b/berylchute/attempts.py
@@ -29,7 +29,7 @@
 class Attempt:
     """One send of a request: the server, its load at selection, and the result.
 
-    `rank` is the position of the server in the preference order of the request's key.
+    `rank` is the number of servers that were examined before this one was selected.
     `load_age_ms` is None if the server has not reported its load yet. `pace` is the work time in
     percent of the usual one. `at_ms` counts from the arrival of the request. `result` is a status
     or an error code. The fields appear under their names in the event of the request.
--- a/berylchute/backends.py
+++ b/berylchute/backends.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from hashlib import blake2b
 
+import attrs
+
 from berylchute.answerlimits import AnswerMemory
 from berylchute.regions import RegionShare, region_of_key, region_shares
 from berylchute.servers import Server, WorkTime
@@ -11,13 +13,10 @@
 from berylchute.types import Clock
 from berylchute.upstream import ConnectionPool
 
-__all__ = ["Backends"]
+__all__ = ["Backends", "Preference"]
 
-# Keys whose preference order is cached; further keys only cost hashing.
-CACHED_ORDERS_MAX = 4096
-# Servers of a key's own region that precede those of other regions. With two of them, a crowded
-# region refuses requests for which others have room (docs/MEASUREMENTS.md).
-LOCAL_SERVERS_FIRST = 1
+# Keys whose preference is cached; further keys only cost hashing.
+CACHED_PREFERENCES_MAX = 4096
 # Spare connections are opened where connecting takes more than this ratio of the latency objective:
 # connecting and the round trip of the request would together take half of the objective.
 SPARE_CONNECT_RATIO = 0.25
@@ -33,6 +32,14 @@
 SENDERS_PER_SERVER = 4
 
 
+@attrs.frozen
+class Preference:
+    """The servers of a service for a key: those of the key's region and of others, best first."""
+
+    near: tuple[Server, ...]
+    far: tuple[Server, ...]
+
+
 class Backends:
     """The registered servers by service, ordered for an affinity key by rendezvous hashing.
 
@@ -55,7 +62,7 @@
         self.index_number = 0
         self._servers: dict[str, Server] = {}
         self._by_service: dict[str, tuple[Server, ...]] = {}
-        self._orders: dict[tuple[str, str, bool], tuple[Server, ...]] = {}
+        self._preferences: dict[tuple[str, str, bool], Preference] = {}
         self._policies: dict[str, ServicePolicy] = {}
         self._goals_s: dict[str, float] = {}
         self._zone_connect_s: dict[str, float] = {}
@@ -129,24 +136,21 @@
         """Return all servers of a service, including draining ones."""
         return self._by_service.get(service, ())
 
-    def preference_order(
-        self, service: str, key: str, *, is_upload: bool = False
-    ) -> Sequence[Server]:
+    def preference(self, service: str, key: str, *, is_upload: bool = False) -> Preference:
         """Return the servers of a service in the preference order of a key.
 
         Uploads prefer servers of the process's own availability zone, since transfers between
         zones cost more than a second copy of the objects that a server keeps for a key.
         """
-        order = self._orders.get((service, key, is_upload))
-        if order is None:
-            if len(self._orders) >= CACHED_ORDERS_MAX:
-                self._orders.clear()
-            order = tuple(self._make_order(service, key, is_upload))
-            self._orders[service, key, is_upload] = order
-        return order
-
-    def _make_order(self, service: str, key: str, is_upload: bool) -> Sequence[Server]:
-        """Return the best LOCAL_SERVERS_FIRST servers of the key's region, then all others."""
+        preference = self._preferences.get((service, key, is_upload))
+        if preference is None:
+            if len(self._preferences) >= CACHED_PREFERENCES_MAX:
+                self._preferences.clear()
+            preference = self._make_preference(service, key, is_upload)
+            self._preferences[service, key, is_upload] = preference
+        return preference
+
+    def _make_preference(self, service: str, key: str, is_upload: bool) -> Preference:
         servers = sorted(
             self._by_service.get(service, ()),
             key=lambda server: _rendezvous_weight(key, server),
@@ -158,7 +162,7 @@
         far = [server for server in servers if self.region_of(server) != region]
         if is_upload:
             near.sort(key=lambda server: server.entry.availability_zone != self._own_zone)
-        return [*near[:LOCAL_SERVERS_FIRST], *far, *near[LOCAL_SERVERS_FIRST:]]
+        return Preference(tuple(near), tuple(far))
 
     def region_share(self, server: Server, region: str) -> float:
         """Return the share (0 to 1) of a region's keys that belong to a server's region."""
@@ -260,7 +264,7 @@
         for server in self._servers.values():
             by_service.setdefault(server.entry.service, []).append(server)
         self._by_service = {service: tuple(servers) for service, servers in by_service.items()}
-        self._orders.clear()
+        self._preferences.clear()
         self.index_number += 1
         regions = {self._own_region, *self._zone_regions.values()}
         self._region_shares = {}
--- a/berylchute/selection.py
+++ b/berylchute/selection.py
@@ -1,12 +1,12 @@
 """Select the backend server for a request by affinity, bounded by load."""
 
 import math
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterator
 from enum import StrEnum
 
 import attrs
 
-from berylchute.backends import Backends
+from berylchute.backends import Backends, Preference
 from berylchute.serverlimits import ServerLimits
 from berylchute.servers import Server
 
@@ -54,8 +54,8 @@
 class Selection:
     """The selected server or the reason why there is none.
 
-    `load` is that of the selected server, or the least load of the full ones. `rank` is the
-    position of the server in the preference order of the key. `report_age_s` is infinite if the
+    `load` is that of the selected server, or the least load of the full ones. `rank` is the number
+    of servers that were examined before. `report_age_s` is infinite if the
     server has not reported its load. `skip_reason` is None if the server is the first of the key.
     """
 
@@ -105,12 +105,14 @@
         least_load = math.inf
         late_selection: Selection | None = None
         skip_reason: SkipReason | None = None
-        for rank, server in enumerate(
-            self._backends.preference_order(service, key, is_upload=is_upload)
-        ):
+        preference = self._backends.preference(service, key, is_upload=is_upload)
+        examined = _examine(
+            preference,
+            lambda server: self._unusable_reason(server, is_allowed_zone, tried_ids, now_s),
+        )
+        for rank, (server, unusable_reason) in enumerate(examined):
             if considered == PREFERRED_SERVERS:
                 break
-            unusable_reason = self._unusable_reason(server, is_allowed_zone, tried_ids, now_s)
             if unusable_reason is not None:
                 skip_reason = skip_reason or unusable_reason
                 continue
@@ -169,3 +171,21 @@
         if server.entry.server_id in tried_ids:
             return SkipReason.TRIED
         return None if is_allowed_zone(server.entry.availability_zone) else SkipReason.OTHER_ZONE
+
+
+def _examine(
+    preference: Preference, unusable_reason: Callable[[Server], SkipReason | None]
+) -> Iterator[tuple[Server, SkipReason | None]]:
+    """Yield the servers of a key in the order of selection, with the reason not to use each.
+
+    The first usable server of the key's region comes first, then those of other regions: with two
+    of its region before them, a crowded region refuses requests for which others have room.
+    """
+    near = iter(preference.near)
+    for server in near:
+        reason = unusable_reason(server)
+        yield server, reason
+        if reason is None:
+            break
+    for server in (*preference.far, *near):
+        yield server, unusable_reason(server)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -48,10 +48,11 @@
     clock = ManualClock()
     names = [f"i-{number}" for number in range(8)]
     backends = make_backends(clock, *map(entry, names))
-    before = [server.entry.server_id for server in backends.preference_order("s", "k")]
+    before = [server.entry.server_id for server in backends.preference("s", "k").near]
     removed = before[0]
     backends.update_servers(ServerList(tuple(entry(name) for name in names if name != removed)))
-    assert [server.entry.server_id for server in backends.preference_order("s", "k")] == before[1:]
+    after = [server.entry.server_id for server in backends.preference("s", "k").near]
+    assert after == before[1:]
 
 
 def test_malformed_load_is_ignored() -> None:
@@ -119,7 +120,8 @@
     server = next(s for s in backends.of_service("s") if s.entry.server_id == "i-1")
     backends.update_servers(ServerList((entry("i-22"),)))
     assert not backends.may_receive(server)
-    assert server not in backends.preference_order("s", "k")
+    preference = backends.preference("s", "k")
+    assert server not in (*preference.near, *preference.far)
 
 
 def test_drained_zone_gets_nothing_and_returns_cold() -> None:
--- a/tests/test_requesthandler.py
+++ b/tests/test_requesthandler.py
@@ -261,7 +261,7 @@
     # other servers are full.
     def fill_others(harness: _Harness) -> None:
         assert harness.backends is not None
-        for server in harness.backends.preference_order("s", "id1")[1:]:
+        for server in harness.backends.preference("s", "id1").near[1:]:
             server.in_flight = 2 * server.entry.slots
 
     harness = _Harness(IDEMPOTENT, AnswerLost("x"))
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -16,6 +16,7 @@
 from berylchute.serverlimits import ServerLimits
 from berylchute.servers import ReportedLoad, Server
 from tests.httpfakes import ManualClock
+from tests.regionfleet import RegionFleet
 from tests.test_backends import entry, make_backends
 
 
@@ -27,7 +28,7 @@
         self.backends: Backends = make_backends(self.clock, *map(entry, names))
         limits = ServerLimits("m1", self.backends, self.clock, MemberDiscovery(self.clock))
         self.selector = Selector(self.backends, is_cold_sender, limits)
-        self.order = list(self.backends.preference_order("s", "k"))
+        self.order = list(self.backends.preference("s", "k").near)
 
     def select(self, *tried: Server, goal_s: float = 0.3, is_return: bool = False) -> Selection:
         return self.selector.select(
@@ -69,6 +70,18 @@
     assert harness.select().server is harness.order[1]  # one request in flight is the probe
 
 
+def test_keys_of_an_unusable_server_stay_in_their_region() -> None:
+    # Guard against requests that leave their region while a server is gone or cold, and all return
+    # when its entry expires or it is warm.
+    fleet = RegionFleet(1)
+    backends, selector = fleet.members[0].backends, fleet.members[0].selector
+    preference = backends.preference("s", "k")
+    preference.near[0].record_failure(fleet.clock.now)
+    selection = selector.select("s", "k", 0.3, False, lambda _: True, (), fleet.clock.now)
+    assert selection.server is preference.near[1]
+    assert selection.skip_reason is SkipReason.UNUSABLE
+
+
 def test_tried_servers_are_not_selected_again() -> None:
     # Guard against a retry that goes to the server that has just failed.
     harness = _Harness("i-1", "i-2")
