Limit how fast requests leave their region and return

Cause: requests leave when their first server is full, and return as soon as it isn't; after an overload, or when a crowd begins, half of them change within a second, to servers that hold other objects.

Change: spillshare keeps the share of a service's requests that leave near a limit that follows the need slowly, in both directions. While servers start, leave, fail or state another limit, and in the first 3 s of a service, requests leave at once, but still return slowly. A request that only the limit keeps from another region is refused at once as spill_limited.

--- a/berylchute/backends.py
+++ b/berylchute/backends.py
@@ -25,6 +25,8 @@
 # Ratio of a cold server's rate that its single sender uses. Two senders may overlap for a moment,
 # and servers sustain one and a half times their cold rate.
 COLD_RATE_RATIO = 0.7
+# Time for which a change of its servers may move a service's requests to other regions at once.
+DISRUPTION_S = 3.0
 # Connection limit for a server whose service is not configured yet; more than the server has slots.
 CONNECTIONS_DEFAULT = 64
 # Number of members among which a server's connections are divided: with affinity, few members send
@@ -36,6 +38,7 @@
 class Preference:
     """The servers of a service for a key: those of the key's region and of others, best first."""
 
+    region: str
     near: tuple[Server, ...]
     far: tuple[Server, ...]
 
@@ -69,6 +72,7 @@
         self._drained_zones: frozenset[str] = frozenset()
         self._opened_to_removed = 0
         self._work_times: dict[str, WorkTime] = {}
+        self._disrupted_at_s: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._servers)
@@ -89,19 +93,26 @@
     def update_servers(self, servers: ServerList) -> None:
         """Set the registered servers; those missing from the list receive nothing more."""
         kept: dict[str, Server] = {}
+        now_s = self._clock.now_s()
         for entry in servers.entries:
             server = self._servers.get(entry.server_id)
             if server is None or _is_other_process(server.entry, entry):
                 if server is not None:
                     self._remove(server)
                 server = self._add(entry)
+                self.record_disruption(entry.service, now_s)
+            elif entry.is_draining and not server.entry.is_draining:
+                self.record_disruption(entry.service, now_s)
             # Counted from the arrival of a change: clocks of hosts may differ or be set.
             if entry.cold_s and (server.entry is entry or entry.cold_s != server.entry.cold_s):
-                server.cold_until_s = max(server.cold_until_s, self._clock.now_s() + entry.cold_s)
+                server.cold_until_s = max(server.cold_until_s, now_s + entry.cold_s)
             server.entry = entry
             kept[entry.server_id] = server
         for server_id, server in self._servers.items():
             if server_id not in kept:
+                # The entry of a server that failed expires some time after the disruption.
+                if not server.failures:
+                    self.record_disruption(server.entry.service, now_s)
                 self._remove(server)
         self._servers = kept
         self._rebuild_index()
@@ -114,9 +125,12 @@
         """
         drained = frozenset(availability_zones)
         returned = tuple(sorted(self._drained_zones - drained))
+        now_s = self._clock.now_s()
+        for server in self._servers.values():
+            if server.entry.availability_zone in drained ^ self._drained_zones:
+                self.record_disruption(server.entry.service, now_s)
         self._drained_zones = drained
         self._rebuild_index()
-        now_s = self._clock.now_s()
         for server in self._servers.values():
             if server.entry.availability_zone in returned:
                 policy = self._policies.get(server.entry.service)
@@ -162,7 +176,15 @@
         far = [server for server in servers if self.region_of(server) != region]
         if is_upload:
             near.sort(key=lambda server: server.entry.availability_zone != self._own_zone)
-        return Preference(tuple(near), tuple(far))
+        return Preference(region, tuple(near), tuple(far))
+
+    def is_disrupted(self, service: str, now_s: float) -> bool:
+        """Return whether servers of a service started, left or failed shortly before."""
+        return now_s - self._disrupted_at_s.get(service, -math.inf) < DISRUPTION_S
+
+    def record_disruption(self, service: str, now_s: float) -> None:
+        """Record that a server of a service started, left, failed or stated another limit."""
+        self._disrupted_at_s[service] = now_s
 
     def region_share(self, server: Server, region: str) -> float:
         """Return the share (0 to 1) of a region's keys that belong to a server's region."""
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -33,6 +33,7 @@
 from berylchute.servers import Server
 from berylchute.settings import Settings
 from berylchute.sharedobjects import SHARED_KEYS, RouteTable, ServerList, ZoneDrains, decode_object
+from berylchute.spillshare import SpillLimiter
 from berylchute.stoptimes import StopTimes
 from berylchute.types import MemberStatus, StoredObject
 
@@ -143,7 +144,9 @@
             header_names=self._settings.header_names,
             routes=self._routes,
             backends=self._backends,
-            selector=Selector(self._backends, self._is_cold_sender, self._server_limits),
+            selector=Selector(
+                self._backends, self._is_cold_sender, self._server_limits, SpillLimiter()
+            ),
             background_tasks=self._background_tasks,
             clock=self._clock,
             rng=self._rng,
--- a/berylchute/selection.py
+++ b/berylchute/selection.py
@@ -1,7 +1,7 @@
 """Select the backend server for a request by affinity, bounded by load."""
 
 import math
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 from enum import StrEnum
 
 import attrs
@@ -9,6 +9,7 @@
 from berylchute.backends import Backends, Preference
 from berylchute.serverlimits import ServerLimits
 from berylchute.servers import Server
+from berylchute.spillshare import SpillLimiter, SpillMode
 
 __all__ = ["NoServerReason", "Selection", "Selector", "SkipReason"]
 
@@ -36,6 +37,7 @@
     NO_SERVER = "no_server"
     ALL_FULL = "all_full"
     RATE_LIMITED = "rate_limited"
+    SPILL_LIMITED = "spill_limited"
 
 
 class SkipReason(StrEnum):
@@ -74,9 +76,14 @@
     """
 
     def __init__(
-        self, backends: Backends, is_cold_sender: Callable[[Server], bool], limits: ServerLimits
+        self,
+        backends: Backends,
+        is_cold_sender: Callable[[Server], bool],
+        limits: ServerLimits,
+        spill: SpillLimiter,
     ) -> None:
         self._backends = backends
+        self._spill = spill
         self._is_cold_sender = is_cold_sender
         self._limits = limits
 
@@ -100,16 +107,58 @@
         substitute for it. A caller that returns after a refusal (`is_return`) may be sent to a
         server with a longer queue.
         """
+        preference = self._backends.preference(service, key, is_upload=is_upload)
+        has_home = bool(preference.near) and is_allowed_zone(
+            preference.near[0].entry.availability_zone
+        )
+        is_disrupted = self._backends.is_disrupted(service, now_s)
         full_ratio = RETURN_FULL_LOAD_RATIO if is_return else FULL_LOAD_RATIO
+
+        def unusable_reason(server: Server) -> SkipReason | None:
+            return self._unusable_reason(server, is_allowed_zone, tried_ids, now_s)
+
+        mode = SpillMode.USUAL
+        if has_home:
+            mode = self._spill.mode(service, key, now_s, is_disrupted=is_disrupted)
+
+        examined = _examine(preference, unusable_reason, mode)
+        selection = self._select_examined(examined, goal_s, full_ratio, now_s, is_return=is_return)
+        if not has_home:
+            return selection
+        server = selection.server
+        is_spilled = None if server is None else self._is_far(preference, server)
+        is_wanted = bool(is_spilled)
+        if mode is not SpillMode.USUAL:
+            is_wanted = not _has_room(
+                preference.near, unusable_reason, full_ratio, now_s
+            ) and _has_room(preference.far, unusable_reason, full_ratio, now_s)
+        is_prevented = server is None and mode is SpillMode.NEVER and is_wanted
+        if server is not None or is_prevented:
+            self._spill.record(
+                service,
+                now_s,
+                is_spilled=is_spilled,
+                is_wanted=is_wanted,
+                is_disrupted=is_disrupted,
+            )
+        if is_prevented:
+            return Selection(None, NoServerReason.SPILL_LIMITED, selection.load)
+        return selection
+
+    def _select_examined(
+        self,
+        examined: Iterable[tuple[Server, SkipReason | None]],
+        goal_s: float,
+        full_ratio: float,
+        now_s: float,
+        *,
+        is_return: bool,
+    ) -> Selection:
+        """Return the first of the examined servers that is not full."""
         considered = limited_count = 0
         least_load = math.inf
         late_selection: Selection | None = None
         skip_reason: SkipReason | None = None
-        preference = self._backends.preference(service, key, is_upload=is_upload)
-        examined = _examine(
-            preference,
-            lambda server: self._unusable_reason(server, is_allowed_zone, tried_ids, now_s),
-        )
         for rank, (server, unusable_reason) in enumerate(examined):
             if considered == PREFERRED_SERVERS:
                 break
@@ -149,6 +198,9 @@
             return Selection(None, NoServerReason.NO_SERVER)
         return Selection(None, NoServerReason.ALL_FULL, least_load)
 
+    def _is_far(self, preference: Preference, server: Server) -> bool:
+        return self._backends.region_of(server) != preference.region
+
     def record_send(self, server: Server, now_s: float) -> None:
         """Count a request that is sent to a selected server."""
         server.sends += 1
@@ -174,18 +226,34 @@
 
 
 def _examine(
-    preference: Preference, unusable_reason: Callable[[Server], SkipReason | None]
+    preference: Preference,
+    unusable_reason: Callable[[Server], SkipReason | None],
+    mode: SpillMode,
 ) -> Iterator[tuple[Server, SkipReason | None]]:
     """Yield the servers of a key in the order of selection, with the reason not to use each.
 
     The first usable server of the key's region comes first, then those of other regions: with two
     of its region before them, a crowded region refuses requests for which others have room.
     """
-    near = iter(preference.near)
-    for server in near:
-        reason = unusable_reason(server)
-        yield server, reason
-        if reason is None:
-            break
-    for server in (*preference.far, *near):
-        yield server, unusable_reason(server)
+    near, far = iter(preference.near), iter(preference.far)
+    firsts = (far, near) if mode is SpillMode.FIRST else (near,)
+    for servers in firsts:
+        for server in servers:
+            reason = unusable_reason(server)
+            yield server, reason
+            if reason is None:
+                break
+    if mode is not SpillMode.NEVER:
+        yield from ((server, unusable_reason(server)) for server in far)
+    yield from ((server, unusable_reason(server)) for server in near)
+
+
+def _has_room(
+    servers: Iterable[Server],
+    unusable_reason: Callable[[Server], SkipReason | None],
+    full_ratio: float,
+    now_s: float,
+) -> bool:
+    """Return whether the first usable one of the servers is not full."""
+    first = next((server for server in servers if unusable_reason(server) is None), None)
+    return first is not None and first.load(now_s) < full_ratio * first.entry.slots
--- a/berylchute/servertracker.py
+++ b/berylchute/servertracker.py
@@ -47,7 +47,10 @@
 
     def record_failure(self, server: Server, error: ExchangeError) -> None:
         """Record that an attempt was not sent or got no usable answer."""
-        server.record_failure(self._clock.now_s())
+        now_s = self._clock.now_s()
+        if not server.failures:
+            self._backends.record_disruption(server.entry.service, now_s)
+        server.record_failure(now_s)
         self._log_failure(server, error.code, str(error))
 
     def record_timeout(self, server: Server, sent_s: float) -> None:
@@ -78,6 +81,7 @@
         if limit_per_s is None:
             server.limit_ended_at_s = server.rate_limit_at_s
         server.rate_limit_per_s = limit_per_s
+        self._backends.record_disruption(server.entry.service, self._clock.now_s())
         self._log.event(
             "server_limit",
             server=server.entry.server_id,
--- a/tests/limitedfleet.py
+++ b/tests/limitedfleet.py
@@ -18,6 +18,7 @@
 from berylchute.servers import Server
 from berylchute.servertracker import ServerTracker
 from berylchute.sharedobjects import CallerLimits, RouteTable, ServerList, ServicePolicy
+from berylchute.spillshare import SpillLimiter
 from berylchute.types import MemberState, MemberStatus
 from berylchute.upstream import ServerAnswer
 from tests.httpfakes import ManualClock
@@ -54,7 +55,7 @@
         self.backends.update_servers(fleet.server_list)
         self.discovery = MemberDiscovery(fleet.clock, ZONE_REGIONS)
         self.limits = ServerLimits(name, self.backends, fleet.clock, self.discovery)
-        self.selector = Selector(self.backends, lambda _: True, self.limits)
+        self.selector = Selector(self.backends, lambda _: True, self.limits, SpillLimiter())
         self.tracker = ServerTracker(self.backends, HeaderNames(), fleet.clock, fleet.log)
 
     def update_view(self) -> None:
--- a/tests/regionfleet.py
+++ b/tests/regionfleet.py
@@ -26,6 +26,7 @@
     ServerList,
     ServicePolicy,
 )
+from berylchute.spillshare import SpillLimiter
 from berylchute.upstream import ServerAnswer
 from tests.httpfakes import ManualClock
 from tests.test_backends import entry
@@ -128,7 +129,7 @@
         policy = ServicePolicy("s", 390, warmup_s=COLD_S, cold_rate_per_s=14.0)
         self.backends.configure(RouteTable(1, (), (policy,), CallerLimits()))
         limits = ServerLimits(zone, self.backends, fleet.clock, MemberDiscovery(fleet.clock))
-        self.selector = Selector(self.backends, self._is_cold_sender, limits)
+        self.selector = Selector(self.backends, self._is_cold_sender, limits, SpillLimiter())
         self._tracker = ServerTracker(self.backends, HeaderNames(), fleet.clock, fleet.log)
 
     def request(self, key: str) -> None:
--- a/tests/test_requesthandler.py
+++ b/tests/test_requesthandler.py
@@ -37,6 +37,7 @@
     ServerList,
     ServicePolicy,
 )
+from berylchute.spillshare import SpillLimiter
 from berylchute.types import Clock
 from berylchute.upstream import ConnectionPool, ServerAnswer, UpstreamRequest
 from tests.endless import SLOW_HEAD, start_endless
@@ -168,7 +169,7 @@
             header_names=HeaderNames(),
             routes=routes,
             backends=backends,
-            selector=Selector(backends, lambda _: True, limits),
+            selector=Selector(backends, lambda _: True, limits, SpillLimiter()),
             background_tasks=background_tasks,
             clock=clock,
             rng=Random(1),
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -15,6 +15,7 @@
 )
 from berylchute.serverlimits import ServerLimits
 from berylchute.servers import ReportedLoad, Server
+from berylchute.spillshare import SpillLimiter
 from tests.httpfakes import ManualClock
 from tests.regionfleet import RegionFleet
 from tests.test_backends import entry, make_backends
@@ -27,7 +28,7 @@
         self.clock = ManualClock()
         self.backends: Backends = make_backends(self.clock, *map(entry, names))
         limits = ServerLimits("m1", self.backends, self.clock, MemberDiscovery(self.clock))
-        self.selector = Selector(self.backends, is_cold_sender, limits)
+        self.selector = Selector(self.backends, is_cold_sender, limits, SpillLimiter())
         self.order = list(self.backends.preference("s", "k").near)
 
     def select(self, *tried: Server, goal_s: float = 0.3, is_return: bool = False) -> Selection:
