Let keys change their region step by step when entries expire

Entries of crashed servers expire together, seconds after the crash, when requests have long found other servers.

Change: shares take effect at once within 3 s of a disruption (servers started, left, failed; a zone was drained), as before, and else move by 0.015 of the keys a second. Shares of stated limits and of cold rates still follow the list at once: all members must compute the same ones.

--- a/berylchute/backends.py
+++ b/berylchute/backends.py
@@ -7,7 +7,7 @@
 import attrs
 
 from berylchute.answerlimits import AnswerMemory
-from berylchute.regions import RegionShare, region_of_key, region_shares
+from berylchute.regions import RegionShare, move_shares, region_of_key, region_shares
 from berylchute.servers import Server, WorkTime
 from berylchute.sharedobjects import RouteTable, ServerEntry, ServerList, ServicePolicy
 from berylchute.types import Clock
@@ -27,6 +27,9 @@
 COLD_RATE_RATIO = 0.7
 # Time for which a change of its servers may move a service's requests to other regions at once.
 DISRUPTION_S = 3.0
+# Part of the keys that may change their region in a second after the entries of failed servers
+# expired: that comes seconds after the failure, when requests have found other servers.
+SHARE_CHANGE_PER_S = 0.015
 # Connection limit for a server whose service is not configured yet; more than the server has slots.
 CONNECTIONS_DEFAULT = 64
 # Number of members among which a server's connections are divided: with affinity, few members send
@@ -62,6 +65,8 @@
         self._own_region = (zone_regions or {}).get(zone, "")
         self._zone_regions = zone_regions or {}
         self._region_shares: dict[str, Mapping[str, tuple[RegionShare, ...]]] = {}
+        self._own_shares: dict[str, tuple[RegionShare, ...]] = {}
+        self._shares_moved_at_s = 0.0
         self.index_number = 0
         self._servers: dict[str, Server] = {}
         self._by_service: dict[str, tuple[Server, ...]] = {}
@@ -170,8 +175,7 @@
             key=lambda server: _rendezvous_weight(key, server),
             reverse=True,
         )
-        shares_by_region = self._region_shares.get(service, {})
-        region = region_of_key(key, shares_by_region.get(self._own_region, ()))
+        region = region_of_key(key, self._own_shares.get(service, ()))
         near = [server for server in servers if self.region_of(server) == region]
         far = [server for server in servers if self.region_of(server) != region]
         if is_upload:
@@ -246,6 +250,19 @@
                     self._zone_connect_s.get(zone, connect_s), connect_s
                 )
 
+    def move_keys(self) -> None:
+        """Let keys change their region step by step; call it periodically."""
+        now_s = self._clock.now_s()
+        change_max = SHARE_CHANGE_PER_S * (now_s - self._shares_moved_at_s)
+        self._shares_moved_at_s = now_s
+        for service, shares in self._region_shares.items():
+            own_shares = move_shares(
+                self._own_shares[service], shares[self._own_region], change_max
+            )
+            if own_shares != self._own_shares[service]:
+                self._own_shares[service] = own_shares
+                self._preferences.clear()
+
     def close_expired(self) -> None:
         """Close idle keep-alive connections that servers are about to close."""
         for server in self._servers.values():
@@ -295,6 +312,15 @@
             self._region_shares[service] = {
                 region: region_shares(region, self._zone_regions, slots) for region in regions
             }
+        now_s = self._clock.now_s()
+        self._own_shares = {
+            service: (
+                shares[self._own_region]
+                if self.is_disrupted(service, now_s)
+                else self._own_shares.get(service, shares[self._own_region])
+            )
+            for service, shares in self._region_shares.items()
+        }
 
     def _slots_by_region(self, servers: Sequence[Server]) -> Mapping[str, float]:
         slots: dict[str, float] = {}
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -264,6 +264,7 @@
             self._server_limits.update_members(members)
             self._node.set_server_limits(self._server_limits.limits_to_report())
             self._backends.close_expired()
+            self._backends.move_keys()
             self._handler.prepare_connections()
             self._report_ready()
             sends = self._region_sends.take_report()
--- a/berylchute/regions.py
+++ b/berylchute/regions.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-__all__ = ["RegionShare", "region_of_key", "region_shares"]
+__all__ = ["RegionShare", "move_shares", "region_of_key", "region_shares"]
 
 # A region keeps its own requests up to this multiple of what its share of all slots can carry,
 # since its servers serve callers nearby without crossing regions.
@@ -67,6 +67,23 @@
     return (RegionShare(own_region, own_share), *others)
 
 
+def move_shares(
+    current: Sequence[RegionShare], target: Sequence[RegionShare], change_max: float
+) -> tuple[RegionShare, ...]:
+    """Return the shares after a move of at most `change_max` of all keys from current to target."""
+    before = {share.region: share.share for share in current}
+    after = {share.region: share.share for share in target}
+    regions = [*after, *(region for region in before if region not in after)]
+    changes = {region: after.get(region, 0.0) - before.get(region, 0.0) for region in regions}
+    moved = sum(max(0.0, change) for change in changes.values())
+    if moved <= change_max or not before:
+        return tuple(target)
+    ratio = change_max / moved
+    return tuple(
+        RegionShare(region, before.get(region, 0.0) + ratio * changes[region]) for region in regions
+    )
+
+
 def region_of_key(key: str, shares: Sequence[RegionShare]) -> str:
     """Return the region of a key by its hash; it changes only if the shares change.
 
--- a/tests/regionfleet.py
+++ b/tests/regionfleet.py
@@ -12,6 +12,7 @@
 
 from berylchute.backends import Backends
 from berylchute.discovery import MemberDiscovery
+from berylchute.edge import REPORT_INTERVAL_S
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import AnswerLost
 from berylchute.headernames import HeaderNames
@@ -191,6 +192,7 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
         self.members = [RegionMember(self, zone) for zone in ZONE_REGIONS]
+        self._move_keys()
         self.add_servers(*(zone for zone, count in ZONE_SERVERS.items() for _ in range(count)))
         for server in self.servers.values():
             server.started_s = -COLD_S
@@ -264,6 +266,11 @@
                 middle_s += WINDOW_S / 4.0
         return max(shifts)
 
+    def _move_keys(self) -> None:
+        for fleet_member in self.members:
+            fleet_member.backends.move_keys()
+        self.call_later(REPORT_INTERVAL_S, self._move_keys)
+
     def _publish(self) -> None:
         for fleet_member in self.members:
             # Copies, as if decoded anew: a list with the same entries starts no cold time.
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from berylchute.regions import region_of_key, region_shares
+from berylchute.regions import RegionShare, move_shares, region_of_key, region_shares
 
 ZONES = {f"z{region}{number}": region for region in "abc" for number in (1, 2)}
 
@@ -51,3 +51,21 @@
     smaller = region_shares("a", ZONES, {"a": 1.5, "b": 10.0, "c": 8.5})
     moved = sum(region_of_key(str(key), smaller) != region for key, region in enumerate(regions))
     assert moved / 2000 < 0.15
+
+
+def test_shares_move_by_a_bounded_part_of_the_keys() -> None:
+    # Guard against keys that all change their region when servers are registered or expire.
+    current = (RegionShare("ra", 0.5), RegionShare("rb", 0.5))
+    target = (RegionShare("ra", 0.2), RegionShare("rc", 0.8))
+    shares = {share.region: share.share for share in move_shares(current, target, 0.1)}
+    assert shares == pytest.approx({"ra": 0.4625, "rb": 0.4375, "rc": 0.1})
+    moved: tuple[RegionShare, ...] = current
+    for _ in range(9):
+        moved = move_shares(moved, target, 0.1)
+    assert moved == target
+
+
+def test_first_shares_are_taken_at_once() -> None:
+    # Guard against a service whose keys belong to no region after it was registered.
+    target = (RegionShare("ra", 1.0),)
+    assert move_shares((), target, 0.01) == target
