--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -242,7 +242,16 @@
             )
 
     def _receive_object(self, stored: StoredObject) -> None:
-        self._node.apply_object(stored)
+        if self._node.apply_object(stored):
+            return
+        known = self._node.objects.get(stored.key)
+        if known is not None and known.value != stored.value:
+            self._log.event(
+                "object_ignored",
+                key=stored.key,
+                version=stored.version,
+                known_version=known.version,
+            )
 
     def _should_watch_store(self) -> bool:
         return should_watch_store(self._node.record.host_id, self._node.members.list_members())
