--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -2,9 +2,17 @@
 
 import asyncio
 import json
+from random import Random
 
+import pytest
+
+from berylchute.collection import Collection, CollectionFeed
 from berylchute.node import MonotonicClock
+from berylchute.objects import ObjectReplica
+from berylchute.types import StoredObject
+from berylchute_platform.documents import make_zone_drains
 from berylchute_platform.objects import CONNECTIONS_MAX, PlatformStore
+from tests.storeserver import StoreAnswer, StoreServer, changed, listing, zone
 
 LISTING = json.dumps({"items": [], "at-rev": 7}).encode()
 
@@ -34,3 +42,60 @@
         server.close()
 
     asyncio.run(main())
+
+
+def _follow(*answers: StoreAnswer) -> tuple[bytes, list[str]]:
+    """Return the drained zones that a member holds after these answers, and the calls' paths."""
+    replica = ObjectReplica(["zone_drains"])
+
+    def publish(stored: StoredObject) -> None:
+        replica.apply(stored.key, stored.version, stored.value)
+
+    async def main() -> list[str]:
+        async with StoreServer(answers) as server:
+            clock = MonotonicClock()
+            feed = CollectionFeed(
+                Collection("evacuations", "zone_drains", make_zone_drains),
+                PlatformStore(server.address, clock),
+                clock,
+                Random(1),
+                publish,
+                lambda: True,
+            )
+            task = asyncio.create_task(feed.run())
+            await asyncio.wait_for(server.is_finished.wait(), 10.0)
+            task.cancel()
+            return server.paths
+
+    paths = asyncio.run(main())
+    stored = replica.get("zone_drains")
+    assert stored is not None
+    return stored.value, paths
+
+
+@pytest.fixture(autouse=True)
+def _no_pauses(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("berylchute.collection.BURST_PAUSE_S", 0.0)
+
+
+def test_objects_of_a_restored_store_are_taken_at_revisions_given_out_again() -> None:
+    # Guard against configurations that are ignored after the store came back from a copy.
+    value, _ = _follow(
+        listing(49, [zone("za")]),
+        StoreAnswer({"error": "gone"}, era=2, status=410),
+        listing(48, [zone("za")], era=2),
+        changed(49, [zone("zb")], era=2),
+    )
+    assert value == b'{"availability_zones":["za","zb"]}'
+
+
+def test_watch_that_a_restored_store_continues_is_read_again() -> None:
+    # Guard against changes below the watched revision that are never seen: a store that has given
+    # out that revision again answers without a 410.
+    value, paths = _follow(
+        listing(49, [zone("za")]),
+        changed(51, [zone("zc")], era=2),
+        listing(51, [zone("za"), zone("zb"), zone("zc")], era=2),
+    )
+    assert paths[2] == "/v1/objects/evacuations"
+    assert value == b'{"availability_zones":["za","zb","zc"]}'
