Order objects by the store's history before its revision

Cause: versions followed the store's revision alone. A store that is restored from a copy gives out revisions again, and members ignored the new objects; a watcher whose revision exists again would not even learn of the restore.

Change: versions count the restores (Store-Era) first; in the first era they are as before, so that members of older builds take them. A watch whose answer is of another history lists again; answers of a former history are not taken.

--- a/berylchute/collection.py
+++ b/berylchute/collection.py
@@ -39,16 +39,24 @@
 # Each store revision has this many object versions: the first for the complete value, the others
 # for values that retain expired entries.
 VERSIONS_PER_REVISION = 4096
+# Each history of the store has this many revisions. A version fits into 64 bits with 32,767
+# histories.
+REVISIONS_PER_HISTORY = 2**36
 
 Entry = object
 
 
 @attrs.frozen
 class CollectionListing:
-    """Hold all entries of a collection by name, as of a store revision."""
+    """Hold all entries of a collection by name, as of a store revision.
+
+    `history` counts how often the store was restored from a copy: it then gives out revisions
+    again. It is None if the store doesn't say.
+    """
 
     entries: Mapping[str, Entry]
     revision: int
+    history: int | None = None
 
 
 @attrs.frozen
@@ -57,6 +65,7 @@
 
     entries: Mapping[str, Entry | None]
     revision: int
+    history: int | None = None
 
 
 class CollectionStore(Protocol):
@@ -77,12 +86,15 @@
 
     `combine` returns None if nothing is to be published. `entries_may_expire` is set if
     entries expire during a store outage although the servers that they describe are still running.
+    `is_older` returns whether an entry, the first argument, is an older one than another of the
+    same name; a store that was restored may list such entries.
     """
 
     name: str
     object_key: str
     combine: Callable[[Mapping[str, Entry]], SharedObject | None]
     entries_may_expire: bool = False
+    is_older: Callable[[Entry, Entry], bool] = lambda entry, other: False
 
 
 class CollectionFeed:
@@ -108,12 +120,14 @@
         self._backoff = Backoff(RETRY_FIRST_S, RETRY_MAX_S, rng)
         self._entries: dict[str, Entry] = {}
         self._expired: dict[str, Entry] = {}
+        self._history = 0
         self._revision = 0
-        self._complete_revision = 0
+        self._complete_version = 0
         self._provisional_count = 0
         self._is_current = False
         self._is_unreachable = False
         self._recovered_s = float("-inf")
+        self._restored_s = float("-inf")
         self.calls = 0
         self.failures = 0
         self.has_answered = False
@@ -143,6 +157,7 @@
                     error,
                 )
                 self._is_current = False
+                await anyio.sleep(BURST_PAUSE_S)
             except StoreError as error:
                 self.failures += 1
                 self._record_failure(error)
@@ -162,12 +177,30 @@
         name, after_revision = self._collection.name, self._revision
         changes = await self._store.watch(name, after_revision, wait_s)
         self._record_success()
+        if changes.history not in (None, self._history):
+            raise HistoryGone(f"the store was restored, history {changes.history}")
         self._apply_changes(changes)
         if changes.entries:
             await anyio.sleep(BURST_PAUSE_S)
 
     def _apply_listing(self, listing: CollectionListing) -> None:
+        history = self._history if listing.history is None else listing.history
+        if history < self._history:
+            raise StoreError(f"the answer is of history {history}, {self._history} is known")
+        if history > self._history and self._revision:
+            _LOG.warning(
+                "store restored, history %d of %s after %d: keeping missing entries for %.1f s",
+                history,
+                self._collection.name,
+                self._history,
+                EXPIRED_RETENTION_S,
+            )
+            self._recovered_s = self._restored_s = self._clock.now_s()
+        self._history = history
         before, self._entries = self._entries, dict(listing.entries)
+        for name, entry in before.items():
+            if name in self._entries and self._collection.is_older(self._entries[name], entry):
+                self._entries[name] = entry
         self._is_current = True
         self._retain_expired({name: e for name, e in before.items() if name not in self._entries})
         self._revision = listing.revision
@@ -177,7 +210,9 @@
         removed: dict[str, Entry] = {}
         for name, entry in changes.entries.items():
             if entry is not None:
-                self._entries[name] = entry
+                known = self._entries.get(name)
+                if known is None or not self._collection.is_older(entry, known):
+                    self._entries[name] = entry
                 self._expired.pop(name, None)
             elif name in self._entries:
                 removed[name] = self._entries.pop(name)
@@ -190,11 +225,12 @@
             self._publish_entries()
 
     def _retain_expired(self, removed: Mapping[str, Entry]) -> None:
-        """Retain entries that expired around a store outage until they can be registered again."""
-        if (
-            self._collection.entries_may_expire
-            and self._clock.now_s() - self._recovered_s < EXPIRED_RETENTION_S
-        ):
+        """Retain entries that are missing after an outage until they can be written again.
+
+        They expired meanwhile, or a restored store lacks them.
+        """
+        since_s = self._recovered_s if self._collection.entries_may_expire else self._restored_s
+        if self._clock.now_s() - since_s < EXPIRED_RETENTION_S:
             self._expired.update(removed)
 
     def _publish_entries(self) -> None:
@@ -206,8 +242,10 @@
             # complete one here, which must not be replaced by one with expired entries.
             self._provisional_count = min(self._provisional_count + 1, VERSIONS_PER_REVISION - 1)
         else:
-            self._complete_revision, self._provisional_count = self._revision, 0
-        version = self._complete_revision * VERSIONS_PER_REVISION + self._provisional_count
+            revision = self._history * REVISIONS_PER_HISTORY + self._revision
+            self._complete_version = revision * VERSIONS_PER_REVISION
+            self._provisional_count = 0
+        version = self._complete_version + self._provisional_count
         self._publish(StoredObject(self._collection.object_key, version, encode_object(value)))
 
     def _record_success(self) -> None:
--- a/tests/storeserver.py
+++ b/tests/storeserver.py
@@ -13,7 +13,7 @@
     """An answer of the store to the next call; `era` counts how often it was restored."""
 
     body: Mapping[str, Any]
-    era: int = 1
+    era: int | str = 1
     status: int = 200
 
 
--- a/tests/test_collection.py
+++ b/tests/test_collection.py
@@ -15,8 +15,9 @@
     CollectionListing,
 )
 from berylchute.exceptions import HistoryGone, StoreUnavailable
-from berylchute.sharedobjects import ZoneDrains
+from berylchute.sharedobjects import CallerLimits, RouteTable, ZoneDrains, decode_object
 from berylchute.types import StoredObject
+from berylchute_platform.documents import is_older_table, make_routes
 from tests.httpfakes import ManualClock
 
 Step = CollectionListing | CollectionChanges | Exception
@@ -58,12 +59,17 @@
     return ZoneDrains(tuple(sorted(entries)))
 
 
-def _run_feed(*steps: tuple[float, Step]) -> tuple[list[StoredObject], _Store, CollectionFeed]:
+SERVERS = Collection("servers", "zone_drains", _names, entries_may_expire=True)
+
+
+def _run_feed(
+    *steps: tuple[float, Step], collection: Collection = SERVERS
+) -> tuple[list[StoredObject], _Store, CollectionFeed]:
     clock = ManualClock()
     store = _Store(clock, list(steps))
     published: list[StoredObject] = []
     feed = CollectionFeed(
-        Collection("servers", "zone_drains", _names, entries_may_expire=True),
+        collection,
         store,
         clock,
         Random(1),
@@ -164,3 +170,20 @@
     known_to_others = 6 * VERSIONS_PER_REVISION
     assert 5 * VERSIONS_PER_REVISION < first.version < second.version < known_to_others
     assert last.version == 10 * VERSIONS_PER_REVISION
+
+
+def test_older_configuration_of_a_restored_store_is_not_published() -> None:
+    # Guard against a confirmed change that comes back older: a store that was restored from a copy
+    # may list the configuration before.
+    tables = {number: RouteTable(number, (), (), CallerLimits()) for number in (7, 9, 10)}
+    published, _, _ = _run_feed(
+        (0, CollectionListing({"main": tables[9]}, 49, history=0)),
+        (0, HistoryGone("restored")),
+        (0, CollectionListing({"main": tables[7]}, 40, history=1)),
+        (0, CollectionChanges({"main": tables[7]}, 41, history=1)),
+        (0, CollectionChanges({"main": tables[10]}, 42, history=1)),
+        collection=Collection("config", "routes", make_routes, is_older=is_older_table),
+    )
+    numbers = [decode_object("routes", item.value).number for item in published]  # type: ignore
+    assert numbers == [9, 9, 9, 10]
+    assert [item.version for item in published] == sorted({item.version for item in published})
--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -99,3 +99,34 @@
     )
     assert paths[2] == "/v1/objects/evacuations"
     assert value == b'{"availability_zones":["za","zb","zc"]}'
+
+
+def test_drain_that_a_restored_store_lacks_is_kept_until_it_can_be_written_again() -> None:
+    # Guard against requests to a drained zone between a restore and the operator's next write.
+    value, _ = _follow(
+        listing(49, [zone("za")]),
+        listing(48, era=2, status=410),
+        listing(30, era=2),
+        changed(31, [zone("zb")], era=2),
+    )
+    assert value == b'{"availability_zones":["za","zb"]}'
+
+
+def test_pages_of_two_histories_are_read_again() -> None:
+    # Guard against a list that is put together from the entries before and after a restore.
+    first = StoreAnswer({"items": [zone("za")], "has-more": True, "at-rev": 49})
+    value, _ = _follow(first, listing(48, [zone("zb")], era=2), listing(48, [zone("zc")], era=2))
+    assert value == b'{"availability_zones":["zc"]}'
+
+
+def test_late_answer_of_a_former_history_is_not_taken() -> None:
+    # Guard against the state before a restore that comes back with an answer that was on its way.
+    value, _ = _follow(listing(48, [zone("za")], era=3), changed(60, era=2), listing(60, era=2))
+    assert value == b'{"availability_zones":["za"]}'
+
+
+@pytest.mark.parametrize("era", ["", "-1", "x", "1.5", "99999999999"])
+def test_unreadable_history_is_not_taken(era: str) -> None:
+    # Guard against an exception that ends the feed, or a version that no later one exceeds.
+    value, _ = _follow(listing(48, [zone("za")]), changed(49, [zone("zb")], era=era))
+    assert value == b'{"availability_zones":["za"]}'
