Keep a leaving server out when an older entry lists it as ready

Cause: a list from a store that was restored from a copy may hold the entry from before the server's notice; servers then got requests again after they had said that they leave (DRAIN). An entry of the same process (address, start time) can only be older, so the notice holds until another process has the id. test_leaving_server_stays_out_when_an_older_entry_is_listed failed before.

--- a/berylchute/backends.py
+++ b/berylchute/backends.py
@@ -106,7 +106,10 @@
                     self._remove(server)
                 server = self._add(entry)
                 self.record_disruption(entry.service, now_s)
-            elif entry.is_draining and not server.entry.is_draining:
+            elif server.entry.is_draining:
+                # A process that leaves doesn't return: an entry that says so is an older one.
+                entry = attrs.evolve(entry, is_draining=True)
+            elif entry.is_draining:
                 self.record_disruption(entry.service, now_s)
             # Counted from the arrival of a change: clocks of hosts may differ or be set.
             if entry.cold_s and (server.entry is entry or entry.cold_s != server.entry.cold_s):
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -279,3 +279,15 @@
     assert server.failures == 0
     server.record_timeout(sent_s=100.0, now_s=108.0)
     assert server.failures == 1
+
+
+def test_leaving_server_stays_out_when_an_older_entry_is_listed() -> None:
+    # Guard against requests to a leaving server whose entry comes back as ready, from a store that
+    # was restored from a copy, until another process has the id.
+    clock = ManualClock()
+    backends = make_backends(clock, entry("i-1", started_ms=5))
+    backends.update_servers(ServerList((entry("i-1", started_ms=5, is_draining=True),)))
+    backends.update_servers(ServerList((entry("i-1", started_ms=5),)))
+    assert not backends.may_receive(backends.of_service("s")[0])
+    backends.update_servers(ServerList((entry("i-1", started_ms=6),)))
+    assert backends.may_receive(backends.of_service("s")[0])
