--- a/tests/storeserver.py
+++ b/tests/storeserver.py
@@ -10,9 +10,12 @@
 
 @attrs.frozen
 class StoreAnswer:
-    """An answer of the store to the next call; `era` counts how often it was restored."""
+    """An answer of the store to the next call; `era` counts how often it was restored.
 
-    body: Mapping[str, Any]
+    A text is sent as it is.
+    """
+
+    body: Mapping[str, Any] | str
     era: int | str = 1
     status: int = 200
 
@@ -66,6 +69,8 @@
                 continue
             self.paths.append(request_line.split()[1].decode())
             answer = self._answers.pop(0)
-            body = json.dumps(answer.body).encode()
+            body = answer.body if isinstance(answer.body, str) else json.dumps(answer.body)
             head = f"HTTP/1.1 {answer.status} X\r\nStore-Era: {answer.era}\r\n"
-            writer.write(head.encode() + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+            writer.write(
+                head.encode() + b"Content-Length: %d\r\n\r\n" % len(body.encode()) + body.encode()
+            )
--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -9,9 +9,11 @@
 from berylchute.collection import Collection, CollectionFeed
 from berylchute.node import MonotonicClock
 from berylchute.objects import ObjectReplica
+from berylchute.sharedobjects import ServerList, decode_object
 from berylchute.types import StoredObject
 from berylchute_platform.documents import make_zone_drains
 from berylchute_platform.objects import CONNECTIONS_MAX, PlatformStore
+from berylchute_platform.program import COLLECTIONS
 from tests.storeserver import StoreAnswer, StoreServer, changed, listing, zone
 
 LISTING = json.dumps({"items": [], "at-rev": 7}).encode()
@@ -44,9 +46,12 @@
     asyncio.run(main())
 
 
-def _follow(*answers: StoreAnswer) -> tuple[bytes, list[str]]:
-    """Return the drained zones that a member holds after these answers, and the calls' paths."""
-    replica = ObjectReplica(["zone_drains"])
+ZONE_DRAINS = Collection("evacuations", "zone_drains", make_zone_drains)
+
+
+def _follow(*answers: StoreAnswer, collection: Collection = ZONE_DRAINS) -> tuple[bytes, list[str]]:
+    """Return the object that a member holds after these answers, and the calls' paths."""
+    replica = ObjectReplica([collection.object_key])
 
     def publish(stored: StoredObject) -> None:
         replica.apply(stored.key, stored.version, stored.value)
@@ -55,7 +60,7 @@
         async with StoreServer(answers) as server:
             clock = MonotonicClock()
             feed = CollectionFeed(
-                Collection("evacuations", "zone_drains", make_zone_drains),
+                collection,
                 PlatformStore(server.address, clock),
                 clock,
                 Random(1),
@@ -68,7 +73,7 @@
             return server.paths
 
     paths = asyncio.run(main())
-    stored = replica.get("zone_drains")
+    stored = replica.get(collection.object_key)
     assert stored is not None
     return stored.value, paths
 
@@ -130,3 +135,83 @@
     # Guard against an exception that ends the feed, or a version that no later one exceeds.
     value, _ = _follow(listing(48, [zone("za")]), changed(49, [zone("zb")], era=era))
     assert value == b'{"availability_zones":["za"]}'
+
+
+DEEP = "[" * 100_000 + "]" * 100_000
+REGISTRATION = {
+    "address": "10.0.0.9:8080",
+    "info": {"service": "s", "zone": "za", "slots": 9},
+    "status": {"state": "ready"},
+}
+
+
+def _server(name: str, **changes: object) -> dict[str, object]:
+    return {"metadata": {"name": name}, "spec": {**REGISTRATION, **changes}, "status": None}
+
+
+ODD_ENTRIES = {
+    "deeply nested": json.dumps(_server("odd", address="X")).replace('"X"', DEEP),
+    "deeply nested name": json.dumps(_server("X")).replace('"X"', DEEP),
+    "number too large": json.dumps(_server("odd", born="X")).replace('"X"', "1e999"),
+    "integer too large": json.dumps(_server("odd", born="X")).replace('"X"', "9" * 5000),
+    "slots beyond any server": json.dumps(
+        _server("odd", info={"service": "s", "zone": "za", "slots": 10**15})
+    ),
+    "port out of range": json.dumps(_server("odd", address="10.0.0.9:99999")),
+    "port zero": json.dumps(_server("odd", address="10.0.0.9:0")),
+    "port in other digits": json.dumps(_server("odd", address="10.0.0.9:\u00b2")),
+    "host name": json.dumps(_server("odd", address="nowhere.example:80")),
+    "name with a line break": json.dumps(_server("odd\r\nX: y")),
+    "name in other letters": json.dumps(_server("\u4e2d")),
+    "no metadata": json.dumps({"spec": REGISTRATION}),
+    "no object": "null",
+    "text": '"odd"',
+}
+
+
+def _server_ids(*answers: StoreAnswer) -> list[str]:
+    value, _ = _follow(*answers, collection=COLLECTIONS[1])
+    servers = decode_object("servers", value)
+    assert isinstance(servers, ServerList)
+    return [entry.server_id for entry in servers.entries]
+
+
+@pytest.mark.parametrize("odd", ODD_ENTRIES)
+def test_odd_entry_in_a_list_leaves_the_others_in_force(odd: str) -> None:
+    # Guard against a member that ends, or stops following the servers, when another writer leaves
+    # an entry that can't be read.
+    items = f'{json.dumps(_server("a"))},{ODD_ENTRIES[odd]},{json.dumps(_server("b"))}'
+    body = f'{{"items":[{items}],"has-more":false,"at-rev":7}}'
+    assert _server_ids(StoreAnswer(body)) == ["a", "b"]
+
+
+@pytest.mark.parametrize("odd", ODD_ENTRIES)
+def test_odd_entry_in_a_watch_leaves_the_others_in_force(odd: str) -> None:
+    # Guard against the same while the collection is watched; later changes must arrive, too.
+    event = f'{{"deleted":false,"object":{ODD_ENTRIES[odd]}}}'
+    more = f'{{"deleted":false,"object":{json.dumps(_server("b"))}}}'
+    odd_changes = StoreAnswer(f'{{"events":[{event},{more}],"at-rev":8}}')
+    ids = _server_ids(listing(7, [_server("a")]), odd_changes, changed(9, [_server("c")]))
+    assert ids == ["a", "b", "c"]
+
+
+def test_entry_that_becomes_odd_names_no_server() -> None:
+    # Guard against requests to a server whose entry was replaced by another writer's.
+    event = f'{{"deleted":false,"object":{ODD_ENTRIES["deeply nested"]}}}'
+    odd_changes = StoreAnswer(f'{{"events":[{event}],"at-rev":8}}')
+    assert _server_ids(listing(7, [_server("a"), _server("odd")]), odd_changes) == ["a"]
+
+
+def test_next_page_is_read_after_any_name() -> None:
+    # Guard against a request that an odd name splits, and against a list that never ends.
+    first = StoreAnswer({"items": [zone("z a&b\r\n")], "has-more": True, "at-rev": 7})
+    value, paths = _follow(first, listing(7, [zone("zb")]))
+    assert paths[1] == "/v1/objects/evacuations?after=z%20a%26b%0D%0A"
+    assert b"zb" in value
+
+
+def test_drained_zone_with_an_odd_entry_is_drained() -> None:
+    # Guard against requests to a zone that the operator drained, whatever else the entry holds.
+    body = f'{{"items":[{{"metadata":{{"name":"za"}},"spec":{DEEP}}}],"at-rev":7}}'
+    value, _ = _follow(StoreAnswer(body))
+    assert value == b'{"availability_zones":["za"]}'
