Send nothing more to a server whose answer says that it leaves

Server-Leaving: 1 stands in all answers of a server that leaves; nothing read it, so that such a server got requests until its entry in the store said so (DRAIN). It now counts at once, in answers of any status that bear their request's id, and holds until another process has the id, whatever older entries or later answers say. The new tests failed before.

Not done: other members are not told; each learns from its own answers or the store.

--- a/berylchute/backends.py
+++ b/berylchute/backends.py
@@ -147,10 +147,11 @@
         return returned
 
     def may_receive(self, server: Server) -> bool:
-        """Return whether a server is registered and neither it nor its zone is drained."""
+        """Return whether a server is registered, stays, and its zone is not drained."""
         return (
             not server.entry.is_draining
             and not server.is_replaced
+            and not server.is_leaving
             and server.entry.availability_zone not in self._drained_zones
         )
 
@@ -193,6 +194,12 @@
         """Record that a server of a service started, left, failed or stated another limit."""
         self._disrupted_at_s[service] = now_s
 
+    def record_leaving(self, server: Server, now_s: float) -> None:
+        """Record that a server said that it leaves: it receives nothing more."""
+        server.is_leaving = True
+        self.record_disruption(server.entry.service, now_s)
+        self._rebuild_index()
+
     def region_share(self, server: Server, region: str) -> float:
         """Return the share (0 to 1) of a region's keys that belong to a server's region."""
         shares = self._region_shares.get(server.entry.service, {}).get(region, ())
--- a/berylchute/servers.py
+++ b/berylchute/servers.py
@@ -90,7 +90,8 @@
     """A registered server and its state as this process sees it.
 
     Times ending in `_at_s` or `_until_s` are times of the process's clock. `is_replaced` is set
-    when the server is no longer registered or another process runs at its address. `failures`
+    when the server is no longer registered or another process runs at its address, `is_leaving`
+    when an answer said that it leaves; both hold for the life of its process. `failures`
     counts those since the last answer, `failed_at_s` is the time of the first of them, and
     `has_lost_connection` means that one of them was more than a time-out. `work_time` is shared by
     the servers of a service. `rate_limit_per_s` is the limit that the last answer, received at
@@ -113,6 +114,7 @@
     work_time: WorkTime = attrs.Factory(WorkTime)
     backoff_until_s: float = 0.0
     is_replaced: bool = False
+    is_leaving: bool = False
     next_cold_send_s: float = 0.0
     rate_limit_per_s: float | None = None
     rate_limit_at_s: float = -math.inf
--- a/berylchute/servertracker.py
+++ b/berylchute/servertracker.py
@@ -36,6 +36,7 @@
                 server.work_time.record(seconds, reported)
         if answer.status != HTTPStatus.MISDIRECTED_REQUEST:
             self._record_rate_limit(server, answer, now_s - seconds)
+            self._record_leaving(server, answer)
         if answer.status == HTTPStatus.GATEWAY_TIMEOUT:
             # The server was too slow for the deadline: no sign that it serves requests again.
             self.record_timeout(server, now_s - seconds)
@@ -67,6 +68,11 @@
             self._log.event("server_back", server=server.entry.server_id)
         server.record_success(now_s)
 
+    def _record_leaving(self, server: Server, answer: ServerAnswer) -> None:
+        if answer.find_header(self._header_names.server_leaving) == b"1" and not server.is_leaving:
+            self._backends.record_leaving(server, self._clock.now_s())
+            self._log.event("server_leaving", server=server.entry.server_id)
+
     def _record_rate_limit(self, server: Server, answer: ServerAnswer, sent_s: float) -> None:
         stated = answer.find_header(self._header_names.server_limit)
         limit_per_s = parse_rate_limit(stated)
--- a/tests/test_servertracker.py
+++ b/tests/test_servertracker.py
@@ -9,10 +9,13 @@
 from berylchute.headernames import HeaderNames
 from berylchute.servers import parse_rate_limit
 from berylchute.servertracker import ServerTracker
+from berylchute.sharedobjects import ServerList
 from berylchute.upstream import ServerAnswer
 from tests.httpfakes import ManualClock
 from tests.test_backends import entry, make_backends
 
+LEAVING = b"Berylchute-Leaving"
+
 
 def _answer(limit: bytes | None) -> ServerAnswer:
     headers = () if limit is None else ((b"Berylchute-Limit", limit),)
@@ -73,3 +76,34 @@
 def test_unreadable_limit_is_no_limit(value: bytes | None) -> None:
     # Guard against an error or an endless limit from a malformed header.
     assert parse_rate_limit(value) is None
+
+
+@pytest.mark.parametrize("status", [200, 404, 421, 500, 503, 504])
+def test_server_that_says_it_leaves_gets_nothing_more(status: int) -> None:
+    # Guard against requests to a leaving server whose notice the store holds late or never.
+    clock = ManualClock()
+    backends = make_backends(clock, entry("i-1", started_ms=5))
+    (server,) = backends.of_service("s")
+    log = EventLog(os.open(os.devnull, os.O_WRONLY), "h")
+    tracker = ServerTracker(backends, HeaderNames(), clock, log)
+    tracker.record_answer(server, ServerAnswer(status, ((LEAVING, b"1"),), b"", 0.0), 0.1)
+    assert not backends.may_receive(server)
+    # Neither its entry nor a later answer without the header takes it back.
+    backends.update_servers(ServerList((entry("i-1", started_ms=5, cold_s=1.0),)))
+    tracker.record_answer(server, ServerAnswer(200, (), b"", 0.0), 0.1)
+    assert not backends.may_receive(server)
+    # Another start does, and so does a server of another id at the address.
+    backends.update_servers(ServerList((entry("i-1", started_ms=6), entry("i-2"))))
+    assert all(map(backends.may_receive, backends.of_service("s")))
+
+
+@pytest.mark.parametrize("value", [b"0", b"", b"no", b"11"])
+def test_other_values_of_the_notice_are_none(value: bytes) -> None:
+    # Guard against a server that is lost because of a malformed header.
+    clock = ManualClock()
+    backends = make_backends(clock, entry("i-1"))
+    (server,) = backends.of_service("s")
+    log = EventLog(os.open(os.devnull, os.O_WRONLY), "h")
+    tracker = ServerTracker(backends, HeaderNames(), clock, log)
+    tracker.record_answer(server, ServerAnswer(200, ((LEAVING, value),), b"", 0.0), 0.1)
+    assert backends.may_receive(server)
