Send nothing to a server during the pause that it asks for

Requests whose servers all pause are refused at once, with a Retry-After that is not before the first of them accepts requests again. The new tests failed before (the pause was unknown).

--- a/berylchute/requesthandler.py
+++ b/berylchute/requesthandler.py
@@ -303,7 +303,9 @@
         if active.request.time_left_ms is not None:
             elapsed_s = self._clock.now_s() - active.request.received_s
             remaining_s = max(0.0, active.request.time_left_ms / 1000.0 - elapsed_s)
-        headers = (make_retry_after(choose_delay_s(remaining_s, self._rng)),)
+        earliest_s = selection.retry_after_s if selection else 0.0
+        delay_s = choose_delay_s(remaining_s, self._rng, earliest_s=earliest_s)
+        headers = (make_retry_after(delay_s),)
         self._end(active.pending, active, Outcome.REFUSED, CallerAnswer(503, headers), selection)
 
     def _end(
--- a/berylchute/retryafter.py
+++ b/berylchute/retryafter.py
@@ -13,13 +13,15 @@
 DELAY_RATIO_RANGE = (0.2, 0.33)
 
 
-def choose_delay_s(remaining_s: float, rng: Random) -> float:
-    """Return the time after which a refused caller should return.
+def choose_delay_s(remaining_s: float, rng: Random, *, earliest_s: float = 0.0) -> float:
+    """Return the time after which a refused caller should return, at least `earliest_s`.
 
     Answers load: a crowd that is refused at once. The delay is random, so that the crowd does not
     return at once.
     """
-    return remaining_s * rng.uniform(*DELAY_RATIO_RANGE)
+    first_ratio, last_ratio = DELAY_RATIO_RANGE
+    first_s = max(earliest_s, first_ratio * remaining_s)
+    return first_s + rng.random() * (last_ratio - first_ratio) * remaining_s
 
 
 def make_retry_after(delay_s: float) -> Header:
--- a/berylchute/selection.py
+++ b/berylchute/selection.py
@@ -38,6 +38,7 @@
     ALL_FULL = "all_full"
     RATE_LIMITED = "rate_limited"
     SPILL_LIMITED = "spill_limited"
+    PAUSED = "paused"
 
 
 class SkipReason(StrEnum):
@@ -45,6 +46,7 @@
 
     UNUSABLE = "unusable"
     COLD = "cold"
+    PAUSED = "paused"
     TRIED = "tried"
     OTHER_ZONE = "other_zone"
     RATE_LIMITED = "rate_limited"
@@ -59,6 +61,7 @@
     `load` is that of the selected server, or the least load of the full ones. `rank` is the number
     of servers that were examined before. `report_age_s` is infinite if the
     server has not reported its load. `skip_reason` is None if the server is the first of the key.
+    `retry_after_s` is the time until the first of the servers accepts requests, if all pause.
     """
 
     server: Server | None
@@ -67,6 +70,7 @@
     report_age_s: float = 0.0
     rank: int = 0
     skip_reason: SkipReason | None = None
+    retry_after_s: float = 0.0
 
 
 class Selector:
@@ -156,6 +160,7 @@
     ) -> Selection:
         """Return the first of the examined servers that is not full."""
         considered = limited_count = 0
+        pause_s = math.inf
         least_load = math.inf
         late_selection: Selection | None = None
         skip_reason: SkipReason | None = None
@@ -164,6 +169,8 @@
                 break
             if unusable_reason is not None:
                 skip_reason = skip_reason or unusable_reason
+                if unusable_reason is SkipReason.PAUSED:
+                    pause_s = min(pause_s, server.paused_until_s - now_s)
                 continue
             if not self._limits.may_send(server, now_s, is_return=is_return):
                 limited_count += 1
@@ -194,6 +201,8 @@
             return late_selection
         if limited_count:
             return Selection(None, NoServerReason.RATE_LIMITED)
+        if considered == 0 and pause_s < math.inf:
+            return Selection(None, NoServerReason.PAUSED, retry_after_s=pause_s)
         if considered == 0:
             return Selection(None, NoServerReason.NO_SERVER)
         return Selection(None, NoServerReason.ALL_FULL, least_load)
@@ -218,6 +227,8 @@
             return SkipReason.UNUSABLE
         if server.failures and server.in_flight:
             return SkipReason.UNUSABLE  # one request in flight probes a server that failed
+        if now_s < server.paused_until_s:
+            return SkipReason.PAUSED
         if server.is_cold(now_s) and not self._is_cold_sender(server):
             return SkipReason.COLD
         if server.entry.server_id in tried_ids:
--- a/berylchute/servers.py
+++ b/berylchute/servers.py
@@ -8,7 +8,14 @@
 from berylchute.tokenbucket import TokenBucket
 from berylchute.upstream import ConnectionPool
 
-__all__ = ["ReportedLoad", "Server", "WorkTime", "parse_rate_limit"]
+__all__ = [
+    "PAUSE_MAX_S",
+    "ReportedLoad",
+    "Server",
+    "WorkTime",
+    "parse_pause_s",
+    "parse_rate_limit",
+]
 
 # Shortest time over which the weight of a reported load falls to zero. Services that work longer,
 # or have a queue, take longer to work off what they reported.
@@ -36,6 +43,8 @@
 # multiple of the service's mean work time.
 SILENCE_MIN_S = 1.0
 SILENCE_WORK_RATIO = 2.0
+# A longer pause that a server asks for ends after this time: the header may be wrong.
+PAUSE_MAX_S = 60.0
 # Failures beyond this one don't lengthen the backoff.
 BACKOFF_DOUBLINGS_MAX = 8
 
@@ -73,6 +82,15 @@
     return limit_per_s if math.isfinite(limit_per_s) and limit_per_s >= 0.0 else None
 
 
+def parse_pause_s(value: bytes) -> float | None:
+    """Return the seconds in a Retry-After header of a server, None if it is none or malformed."""
+    try:
+        pause_s = float(value)
+    except ValueError:
+        return None
+    return min(pause_s, PAUSE_MAX_S) if math.isfinite(pause_s) and pause_s > 0.0 else None
+
+
 @attrs.define
 class WorkTime:
     """Mean work time of a service's servers without the wait in their queues, 0 if unknown."""
@@ -91,7 +109,8 @@
 
     Times ending in `_at_s` or `_until_s` are times of the process's clock. `is_replaced` is set
     when the server is no longer registered or another process runs at its address, `is_leaving`
-    when an answer said that it leaves; both hold for the life of its process. `failures`
+    when an answer said that it leaves; both hold for the life of its process. The server asked for
+    no requests until `paused_until_s`. `failures`
     counts those since the last answer, `failed_at_s` is the time of the first of them, and
     `has_lost_connection` means that one of them was more than a time-out. `work_time` is shared by
     the servers of a service. `rate_limit_per_s` is the limit that the last answer, received at
@@ -115,6 +134,7 @@
     backoff_until_s: float = 0.0
     is_replaced: bool = False
     is_leaving: bool = False
+    paused_until_s: float = -math.inf
     next_cold_send_s: float = 0.0
     rate_limit_per_s: float | None = None
     rate_limit_at_s: float = -math.inf
--- a/berylchute/servertracker.py
+++ b/berylchute/servertracker.py
@@ -7,12 +7,14 @@
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import ExchangeError
 from berylchute.headernames import HeaderNames
-from berylchute.servers import ReportedLoad, Server, parse_rate_limit
+from berylchute.servers import ReportedLoad, Server, parse_pause_s, parse_rate_limit
 from berylchute.types import Clock
 from berylchute.upstream import ServerAnswer
 
 __all__ = ["ServerTracker"]
 
+RETRY_AFTER = b"retry-after"
+
 
 class ServerTracker:
     """Update the state of servers after each attempt and log its changes."""
@@ -37,6 +39,8 @@
         if answer.status != HTTPStatus.MISDIRECTED_REQUEST:
             self._record_rate_limit(server, answer, now_s - seconds)
             self._record_leaving(server, answer)
+        if answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            self._record_pause(server, answer)
         if answer.status == HTTPStatus.GATEWAY_TIMEOUT:
             # The server was too slow for the deadline: no sign that it serves requests again.
             self.record_timeout(server, now_s - seconds)
@@ -73,6 +77,25 @@
             self._backends.record_leaving(server, self._clock.now_s())
             self._log.event("server_leaving", server=server.entry.server_id)
 
+    def _record_pause(self, server: Server, answer: ServerAnswer) -> None:
+        stated = answer.find_header(RETRY_AFTER)
+        if stated is None:
+            return
+        pause_s = parse_pause_s(stated)
+        now_s = self._clock.now_s()
+        self._log.event(
+            "server_pause",
+            server=server.entry.server_id,
+            stated=stated.decode("latin-1"),
+            pause_s=pause_s,
+        )
+        if pause_s is None:
+            return
+        if server.paused_until_s < now_s:
+            self._backends.record_disruption(server.entry.service, now_s)
+        # An answer that comes later may have been written before.
+        server.paused_until_s = max(server.paused_until_s, now_s + pause_s)
+
     def _record_rate_limit(self, server: Server, answer: ServerAnswer, sent_s: float) -> None:
         stated = answer.find_header(self._header_names.server_limit)
         limit_per_s = parse_rate_limit(stated)
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -3,6 +3,8 @@
 import math
 from collections.abc import Callable
 
+import pytest
+
 from berylchute.backends import Backends
 from berylchute.discovery import MemberDiscovery
 from berylchute.selection import (
@@ -144,3 +146,16 @@
     assert harness.select().server is third
     third.in_flight = 1
     assert harness.select().no_server_reason is NoServerReason.RATE_LIMITED
+
+
+def test_request_is_refused_at_once_while_all_servers_pause() -> None:
+    # Guard against requests to servers that asked for none, and callers that return too early.
+    harness = _Harness("i-1", "i-2")
+    harness.order[0].paused_until_s = harness.clock.now + 1.5
+    assert harness.select().server is harness.order[1]
+    harness.order[1].paused_until_s = harness.clock.now + 0.4
+    selection = harness.select()
+    assert selection.no_server_reason is NoServerReason.PAUSED
+    assert selection.retry_after_s == pytest.approx(0.4)
+    harness.clock.now += 0.5
+    assert harness.select().server is harness.order[1]
--- a/tests/test_servertracker.py
+++ b/tests/test_servertracker.py
@@ -1,13 +1,14 @@
 """Check what the state of a server becomes after an answer or a failure."""
 
 import json
+import math
 import os
 
 import pytest
 
 from berylchute.eventlog import EventLog
 from berylchute.headernames import HeaderNames
-from berylchute.servers import parse_rate_limit
+from berylchute.servers import PAUSE_MAX_S, parse_rate_limit
 from berylchute.servertracker import ServerTracker
 from berylchute.sharedobjects import ServerList
 from berylchute.upstream import ServerAnswer
@@ -107,3 +108,44 @@
     tracker = ServerTracker(backends, HeaderNames(), clock, log)
     tracker.record_answer(server, ServerAnswer(200, ((LEAVING, value),), b"", 0.0), 0.1)
     assert backends.may_receive(server)
+
+
+@pytest.mark.parametrize(
+    ("value", "pause_s"),
+    [
+        (b"2", 2.0),
+        (b"0.25", 0.25),
+        (b"1e9", PAUSE_MAX_S),
+        (b"0", 0.0),
+        (b"-1", 0.0),
+        (b"nan", 0.0),
+        (b"inf", 0.0),
+        (b"x", 0.0),
+        (b"Wed, 21 Oct 2026 07:28:00 GMT", 0.0),
+    ],
+)
+def test_server_that_asks_for_a_pause_gets_nothing_meanwhile(value: bytes, pause_s: float) -> None:
+    # Guard against requests to a server that asked for none, and against one that is lost because
+    # of a malformed time.
+    clock = ManualClock()
+    backends = make_backends(clock, entry("i-1"))
+    (server,) = backends.of_service("s")
+    log = EventLog(os.open(os.devnull, os.O_WRONLY), "h")
+    tracker = ServerTracker(backends, HeaderNames(), clock, log)
+    tracker.record_answer(server, ServerAnswer(503, ((b"Retry-After", value),), b"", 0.0), 0.1)
+    assert server.paused_until_s == (clock.now + pause_s if pause_s else -math.inf)
+
+
+def test_later_answer_does_not_shorten_a_pause() -> None:
+    # Guard against requests within a pause after a shorter one, or after an answer that the server
+    # wrote before.
+    clock = ManualClock()
+    backends = make_backends(clock, entry("i-1"))
+    (server,) = backends.of_service("s")
+    log = EventLog(os.open(os.devnull, os.O_WRONLY), "h")
+    tracker = ServerTracker(backends, HeaderNames(), clock, log)
+    for status, value in ((503, b"5"), (503, b"1"), (200, b"1"), (429, b"9")):
+        tracker.record_answer(
+            server, ServerAnswer(status, ((b"Retry-After", value),), b"", 0.0), 0.1
+        )
+        assert server.paused_until_s == clock.now + 5.0
