Let the soak's store come back from a copy

Its answers bear Store-Era; a restore goes back by up to 9 s, gives out revisions again and has all that was lost written again.

--- a/soak/standins.py
+++ b/soak/standins.py
@@ -11,6 +11,7 @@
 
 from berylchute.callers import CallerAnswer, CallerServer, Header, PendingRequest
 from berylchute.node import MonotonicClock
+from berylchute_platform.headers import STORE_ERA
 from soak import wire
 from soak.faults import OverlappingFaults
 from soak.records import Records, Run
@@ -34,6 +35,7 @@
     kind: str
     item: Mapping[str, Any]
     is_deletion: bool
+    at_s: float
 
 
 class StoreStandIn:
@@ -44,11 +46,12 @@
 
     def __init__(self, port: int) -> None:
         self._address = f"127.0.0.1:{port}"
-        self._objects: dict[str, dict[str, Mapping[str, Any]]] = {}
+        self.objects: dict[str, dict[str, Mapping[str, Any]]] = {}
         self._changes: list[_Change] = []
         self._oldest_revision = 0
         self._change_condition = asyncio.Condition()
-        self._revision = 10
+        self.revision = 10
+        self._era = 1
         self._tasks: set[asyncio.Task[None]] = set()
         self.faults: OverlappingFaults[str] = OverlappingFaults()
 
@@ -60,27 +63,53 @@
 
     async def put(self, kind: str, name: str, spec: Any, status: Any = None) -> None:
         """Create or replace an object and notify watches."""
-        self._revision += 1
-        item = wire.make_object(name, self._revision, spec, status)
-        self._objects.setdefault(kind, {})[name] = item
+        item = wire.make_object(name, self.revision + 1, spec, status)
         await self._record_change(kind, item, is_deletion=False)
 
     async def delete(self, kind: str, name: str) -> None:
         """Delete an object, if it exists, and notify watches."""
-        item = self._objects.get(kind, {}).pop(name, None)
+        item = self.objects.get(kind, {}).get(name)
         if item is not None:
-            self._revision += 1
             await self._record_change(kind, item, is_deletion=True)
 
+    async def restore(self, age_s: float) -> None:
+        """Go back to the state of `age_s` before; then all writers write again what was lost."""
+        copied_s = time.monotonic() - age_s
+        lost = [change for change in self._changes if change.at_s > copied_s]
+        self._changes = [change for change in self._changes if change.at_s <= copied_s]
+        self.revision -= len(lost)
+        self._era += 1
+        self.objects.clear()
+        for change in self._changes:
+            self._apply(change)
+        written_again = {(change.kind, change.item["metadata"]["name"]): change for change in lost}
+        for (kind, name), change in written_again.items():
+            if change.is_deletion:
+                await self.delete(kind, name)
+            else:
+                await self.put(kind, name, change.item["spec"], change.item["status"])
+
     def compact_history(self) -> None:
         """Refuse watches from revisions before the current one with status 410."""
-        self._oldest_revision = self._revision
+        self._oldest_revision = self.revision
 
     async def _record_change(self, kind: str, item: Mapping[str, Any], is_deletion: bool) -> None:
-        self._changes.append(_Change(self._revision, kind, item, is_deletion))
+        self.revision += 1
+        change = _Change(self.revision, kind, item, is_deletion, time.monotonic())
+        self._changes.append(change)
+        self._apply(change)
         async with self._change_condition:
             self._change_condition.notify_all()
 
+    def _apply(self, change: _Change) -> None:
+        objects = self.objects.setdefault(change.kind, {})
+        objects[change.item["metadata"]["name"]] = change.item
+        if change.is_deletion:
+            del objects[change.item["metadata"]["name"]]
+
+    def _answer(self, status: int, body: bytes = b"") -> CallerAnswer:
+        return CallerAnswer(status, (*JSON_HEADERS, (STORE_ERA, b"%d" % self._era)), body)
+
     def _handle(self, pending: PendingRequest) -> None:
         task = asyncio.create_task(self._respond(pending))
         self._tasks.add(task)
@@ -92,22 +121,20 @@
         if "slow" in self.faults:
             await asyncio.sleep(SLOW_STORE_S)
         if "down" in self.faults:
-            pending.respond(CallerAnswer(503))
+            pending.respond(self._answer(503))
             return
         query = wire.StoreQuery.from_request(pending.request)
         if query.watch_revision is None:
-            items = list(self._objects.get(query.collection, {}).values())
-            pending.respond(
-                CallerAnswer(200, JSON_HEADERS, wire.encode_list(items, self._revision))
-            )
+            items = list(self.objects.get(query.collection, {}).values())
+            pending.respond(self._answer(200, wire.encode_list(items, self.revision)))
             return
-        if query.watch_revision < self._oldest_revision:
-            pending.respond(CallerAnswer(410))
+        if not self._oldest_revision <= query.watch_revision <= self.revision:
+            pending.respond(self._answer(410))
             return
         changes = await self._wait_for_changes(query, query.watch_revision)
         if "silent" not in self.faults:
-            body = wire.encode_watch(changes, max(query.watch_revision, self._revision))
-            pending.respond(CallerAnswer(200, JSON_HEADERS, body))
+            body = wire.encode_watch(changes, max(query.watch_revision, self.revision))
+            pending.respond(self._answer(200, body))
 
     async def _wait_for_changes(
         self, query: wire.StoreQuery, watch_revision: int
--- a/soak/world.py
+++ b/soak/world.py
@@ -30,6 +30,9 @@
 LIMITS_PER_S = (0.5, 4.0)
 LIMIT_DURATIONS_S = (5.0, 9.0)
 LIMITS_PAUSE_S = 1.0
+# Part of the store's faults from which it comes back from a copy, and the age of the copy.
+RESTORE_RATIO = 0.3
+RESTORE_AGES_S = (0.0, 9.0)
 
 
 @attrs.define(eq=False)
@@ -64,6 +67,7 @@
         self._unread_pipe_fds: tuple[int, ...] = ()
         self._rng = Random(seed)
         self._limits_rng = Random(seed)  # keeps the other faults of a seed as they were
+        self._restores_rng = Random(seed)
         self._out_dir = out_dir
         ports = iter(free_ports(2 + 6 * edges + 2 * servers * 4))
         self._store_port, self._store_proxy_port = next(ports), next(ports)
@@ -226,13 +230,17 @@
     async def _inject_store_fault(self) -> None:
         duration_s = self._rng.uniform(0.5, 3.0)
         kind = self._rng.choice(("down", "silent", "slow", "forget", "reset"))
+        if self._restores_rng.random() < RESTORE_RATIO:
+            kind = "restore"
         self._record_fault("store", kind, duration_s)
         if kind == "forget":
             self._store.compact_history()
         if kind == "reset":
             self._store_proxy.reset_all()
-        with self._store.faults.inject(kind):
+        with self._store.faults.inject("down" if kind == "restore" else kind):
             await asyncio.sleep(duration_s)
+        if kind == "restore":
+            await self._store.restore(self._restores_rng.uniform(*RESTORE_AGES_S))
 
     async def _inject_link_fault(self) -> None:
         name = self._rng.choice(sorted(self._proxies))
--- a/tests/test_soak_world.py
+++ b/tests/test_soak_world.py
@@ -6,6 +6,7 @@
 import pytest
 
 from soak.faults import OverlappingFaults
+from soak.standins import StoreStandIn
 from soak.world import SoakWorld
 
 
@@ -48,3 +49,23 @@
             assert "down" in faults and "slow" in faults
         assert "down" in faults and "slow" not in faults
     assert "down" not in faults
+
+
+def test_restored_store_gives_out_revisions_again() -> None:
+    """Guard against a soak whose restores are none: the same revisions with nothing lost."""
+
+    async def main() -> None:
+        store = StoreStandIn(0)
+        await store.put("config", "main", {"number": 1})
+        await asyncio.sleep(0.1)
+        await store.put("config", "main", {"number": 2})
+        await store.put("evacuations", "za", {})
+        await store.put("config", "main", {"number": 3})
+        assert store.revision == 14
+        await store.restore(0.05)
+        # What is written again gets fewer revisions, which were given out before.
+        assert store.revision == 13
+        assert store.objects["config"]["main"]["spec"] == {"number": 3}
+        assert set(store.objects["evacuations"]) == {"za"}
+
+    asyncio.run(main())
