--- a/berylchute/selection.py
+++ b/berylchute/selection.py
@@ -1,12 +1,13 @@
 """Select the backend server for a request by affinity, bounded by load."""
 
 import math
-from collections.abc import Callable, Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable
 from enum import StrEnum
 
 import attrs
 
 from berylchute.backends import Backends, Preference
+from berylchute.candidates import Candidates, SkipReason
 from berylchute.serverlimits import ServerLimits
 from berylchute.servers import Server
 from berylchute.spillshare import SpillLimiter, SpillMode
@@ -41,19 +42,6 @@
     PAUSED = "paused"
 
 
-class SkipReason(StrEnum):
-    """Why the first server of a key was not selected; the values appear in events and metrics."""
-
-    UNUSABLE = "unusable"
-    COLD = "cold"
-    PAUSED = "paused"
-    TRIED = "tried"
-    OTHER_ZONE = "other_zone"
-    RATE_LIMITED = "rate_limited"
-    FULL = "full"
-    LATE = "late"
-
-
 @attrs.frozen
 class Selection:
     """The selected server or the reason why there is none.
@@ -112,32 +100,27 @@
         server with a longer queue.
         """
         preference = self._backends.preference(service, key, is_upload=is_upload)
-        has_home = bool(preference.near) and is_allowed_zone(
-            preference.near[0].entry.availability_zone
-        )
-        is_disrupted = self._backends.is_disrupted(service, now_s)
         full_ratio = RETURN_FULL_LOAD_RATIO if is_return else FULL_LOAD_RATIO
+        candidates = Candidates(
+            preference,
+            lambda server: self._unusable_reason(server, is_allowed_zone, tried_ids, now_s),
+        )
 
-        def unusable_reason(server: Server) -> SkipReason | None:
-            return self._unusable_reason(server, is_allowed_zone, tried_ids, now_s)
-
-        mode = SpillMode.USUAL
-        if has_home:
-            mode = self._spill.mode(service, key, now_s, is_disrupted=is_disrupted)
+        def select_in(mode: SpillMode) -> Selection:
+            examined = candidates.examine(mode)
+            return self._select_examined(examined, goal_s, full_ratio, now_s, is_return=is_return)
 
-        examined = _examine(preference, unusable_reason, mode)
-        selection = self._select_examined(examined, goal_s, full_ratio, now_s, is_return=is_return)
-        if not has_home:
-            return selection
-        server = selection.server
-        is_spilled = None if server is None else self._is_far(preference, server)
+        if not preference.near or not is_allowed_zone(preference.near[0].entry.availability_zone):
+            return select_in(SpillMode.USUAL)
+        is_disrupted = self._backends.is_disrupted(service, now_s)
+        mode = self._spill.mode(service, key, now_s, is_disrupted=is_disrupted)
+        selection = select_in(mode)
+        is_spilled = self._is_spilled(preference, selection.server)
         is_wanted = bool(is_spilled)
         if mode is not SpillMode.USUAL:
-            is_wanted = not _has_room(
-                preference.near, unusable_reason, full_ratio, now_s
-            ) and _has_room(preference.far, unusable_reason, full_ratio, now_s)
-        is_prevented = server is None and mode is SpillMode.NEVER and is_wanted
-        if server is not None or is_prevented:
+            is_wanted = candidates.need_spill(full_ratio, now_s)
+        is_prevented = selection.server is None and mode is SpillMode.NEVER and is_wanted
+        if selection.server is not None or is_prevented:
             self._spill.record(
                 service,
                 now_s,
@@ -207,8 +190,8 @@
             return Selection(None, NoServerReason.NO_SERVER)
         return Selection(None, NoServerReason.ALL_FULL, least_load)
 
-    def _is_far(self, preference: Preference, server: Server) -> bool:
-        return self._backends.region_of(server) != preference.region
+    def _is_spilled(self, preference: Preference, server: Server | None) -> bool | None:
+        return None if server is None else self._backends.region_of(server) != preference.region
 
     def record_send(self, server: Server, now_s: float) -> None:
         """Count a request that is sent to a selected server."""
@@ -234,37 +217,3 @@
         if server.entry.server_id in tried_ids:
             return SkipReason.TRIED
         return None if is_allowed_zone(server.entry.availability_zone) else SkipReason.OTHER_ZONE
-
-
-def _examine(
-    preference: Preference,
-    unusable_reason: Callable[[Server], SkipReason | None],
-    mode: SpillMode,
-) -> Iterator[tuple[Server, SkipReason | None]]:
-    """Yield the servers of a key in the order of selection, with the reason not to use each.
-
-    The first usable server of the key's region comes first, then those of other regions: with two
-    of its region before them, a crowded region refuses requests for which others have room.
-    """
-    near, far = iter(preference.near), iter(preference.far)
-    firsts = (far, near) if mode is SpillMode.FIRST else (near,)
-    for servers in firsts:
-        for server in servers:
-            reason = unusable_reason(server)
-            yield server, reason
-            if reason is None:
-                break
-    if mode is not SpillMode.NEVER:
-        yield from ((server, unusable_reason(server)) for server in far)
-    yield from ((server, unusable_reason(server)) for server in near)
-
-
-def _has_room(
-    servers: Iterable[Server],
-    unusable_reason: Callable[[Server], SkipReason | None],
-    full_ratio: float,
-    now_s: float,
-) -> bool:
-    """Return whether the first usable one of the servers is not full."""
-    first = next((server for server in servers if unusable_reason(server) is None), None)
-    return first is not None and first.load(now_s) < full_ratio * first.entry.slots
