--- a/tests/test_collection.py
+++ b/tests/test_collection.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import anyio
+import attrs
 import pytest
 
 from berylchute.collection import (
@@ -187,3 +188,10 @@
     numbers = [decode_object("routes", item.value).number for item in published]  # type: ignore
     assert numbers == [9, 9, 9, 10]
     assert [item.version for item in published] == sorted({item.version for item in published})
+
+
+def test_versions_of_the_first_history_are_those_of_older_builds() -> None:
+    # Guard against a fleet of two builds in which one ignores what the other publishes.
+    for history in (None, 0):
+        published, _, _ = _run_feed((0, attrs.evolve(_listing_of_both(5), history=history)))
+        assert [item.version for item in published] == [5 * VERSIONS_PER_REVISION]
