--- a/soak/standins.py
+++ b/soak/standins.py
@@ -11,7 +11,6 @@
 
 from berylchute.callers import CallerAnswer, CallerServer, Header, PendingRequest
 from berylchute.node import MonotonicClock
-from berylchute_platform.headers import STORE_ERA
 from soak import wire
 from soak.faults import OverlappingFaults
 from soak.records import Records, Run
@@ -21,7 +20,6 @@
 SLOW_STORE_S = 0.2
 ABORT_RATIO = MALFORMED_RATIO = 0.2
 ENDLESS_RATIO = 0.1
-JSON_HEADERS = ((b"Content-Type", b"application/json"),)
 
 
 def expected_body(request_id: str, body: bytes) -> bytes:
@@ -108,7 +106,7 @@
             del objects[change.item["metadata"]["name"]]
 
     def _answer(self, status: int, body: bytes = b"") -> CallerAnswer:
-        return CallerAnswer(status, (*JSON_HEADERS, (STORE_ERA, b"%d" % self._era)), body)
+        return CallerAnswer(status, wire.store_headers(self._era), body)
 
     def _handle(self, pending: PendingRequest) -> None:
         task = asyncio.create_task(self._respond(pending))
--- a/soak/wire.py
+++ b/soak/wire.py
@@ -10,7 +10,7 @@
 
 from berylchute.callers import CallerRequest, Header
 from berylchute.headernames import HeaderNames
-from berylchute_platform.headers import HEADER_NAMES
+from berylchute_platform.headers import HEADER_NAMES, STORE_ERA
 from berylchute_platform.settings import SETTINGS_VARIABLE
 
 __all__ = [
@@ -34,6 +34,7 @@
     "server_stamp",
     "settings_environment",
     "settings_text",
+    "store_headers",
 ]
 
 # CallerServer removes the deadline and the expected-server header from requests. No header is named
@@ -70,6 +71,11 @@
         return cls(request.path.rpartition("/")[2], watch_revision, wait_s)
 
 
+def store_headers(era: int) -> tuple[Header, ...]:
+    """Return the headers of a store's answer; `era` counts its restores from 1."""
+    return ((b"Content-Type", b"application/json"), (STORE_ERA, b"%d" % era))
+
+
 def make_object(name: str, revision: int, spec: Any, status: Any) -> Mapping[str, Any]:
     """Return an object as lists and watches contain it."""
     return {"metadata": {"name": name, "revision": revision}, "spec": spec, "status": status}
