--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,7 +7,14 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "lib"))
 from harness import (  # noqa: E402
-    BOUNDS, Deployment, Edge, Proxy, free_ports, main, manifest, now,
+    BOUNDS,
+    Deployment,
+    Edge,
+    Proxy,
+    free_ports,
+    main,
+    manifest,
+    now,
 )  # fmt: skip
 
 CUT_S = 5.5
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -33,9 +33,7 @@
     await traffic
     world.write_records(record)
     late = [
-        r
-        for r in world.requests
-        if r["status"] == 0 and r["ended"] - r["sent"] >= BUDGET_S - 0.1
+        r for r in world.requests if r["status"] == 0 and r["ended"] - r["sent"] >= BUDGET_S - 0.1
     ]
     open_at_timeout = [r for r in world.requests if r["ended"] - r["sent"] > TIMEOUT_S]
     open_later = [r for r in open_at_timeout if r["ended"] - r["sent"] > TIMEOUT_S + 0.5]
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -195,9 +195,7 @@
             size += len(text)
         has_more = "true" if len(items) < len(names) else "false"
         listed = ",".join(items)
-        return (
-            f'{{"items":[{listed}],"has-more":{has_more},"at-rev":{self.revision}}}'
-        ).encode()
+        return (f'{{"items":[{listed}],"has-more":{has_more},"at-rev":{self.revision}}}').encode()
 
     async def _events(self, reader, kind, after, wait_s):
         """Return the events after a revision; None if the watch is cut off."""
