Follow changes in time while the members that watch the store are cut off

Cause: four members watch the store, the others rely on them for as long as their records say `watching`. A watch on a link that drops all packets looks like one without changes; it was found to have failed after 4 s + 1 s, and only then was the record changed. Both times were constants, longer than config-apply-s and drain-s.

Change: watching members probe the store (a call whose data may be stale) in a fifth of the shorter of the two bounds and tell all members the age of the answer, with their versions. A member that has heard of no answer for 0.55 of the bound lists the collections and watches itself. Watches wait for 0.75 of the bound. The same age covers watchers without power, frozen, or cut off from the others: what counts is when the store last answered, not what was last said.

Ruled out: only a shorter wait of the watches, which takes four times the calls at full price for the same time; watching in all members, which multiplies the calls of each change by the fleet.

--- a/berylchute/collection.py
+++ b/berylchute/collection.py
@@ -11,6 +11,7 @@
 from berylchute.backoff import Backoff
 from berylchute.exceptions import HistoryGone, StoreError
 from berylchute.sharedobjects import SharedObject, encode_object
+from berylchute.storecontact import ProbedStore
 from berylchute.types import Clock, StoredObject
 
 __all__ = [
@@ -23,9 +24,6 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Bounds the time until a watch on a dead connection is detected; a longer wait would need fewer
-# calls but detect it later.
-WATCH_WAIT_S = 4.0
 # Delays after failed calls. The longest is a fraction of the time within which a change must be
 # applied (2 s and more), so that the recovery of the store is detected in time.
 RETRY_FIRST_S = 0.1
@@ -68,7 +66,7 @@
     history: int | None = None
 
 
-class CollectionStore(Protocol):
+class CollectionStore(ProbedStore, Protocol):
     """Read and watch collections; every call has a timeout and raises StoreError."""
 
     async def read(self, collection: str) -> CollectionListing:
@@ -100,7 +98,8 @@
 class CollectionFeed:
     """Read one collection at the start, then watch it while `is_wanted` returns true.
 
-    `publish` is called with each new object.
+    `publish` is called with each new object. A watch waits up to `watch_wait_s`, which bounds the
+    time until one on a dead connection is detected.
     """
 
     def __init__(
@@ -111,12 +110,14 @@
         rng: Random,
         publish: Callable[[StoredObject], None],
         is_wanted: Callable[[], bool],
+        watch_wait_s: float,
     ) -> None:
         self._collection = collection
         self._store = store
         self._clock = clock
         self._publish = publish
         self._is_wanted = is_wanted
+        self._watch_wait_s = watch_wait_s
         self._backoff = Backoff(RETRY_FIRST_S, RETRY_MAX_S, rng)
         self._entries: dict[str, Entry] = {}
         self._expired: dict[str, Entry] = {}
@@ -169,7 +170,7 @@
             self._record_success()
             self._apply_listing(listing)
             return
-        wait_s = WATCH_WAIT_S
+        wait_s = self._watch_wait_s
         if self._expired:
             wait_s = min(
                 wait_s, max(0.05, self._recovered_s + EXPIRED_RETENTION_S - self._clock.now_s())
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -35,6 +35,7 @@
 from berylchute.sharedobjects import SHARED_KEYS, RouteTable, ServerList, ZoneDrains, decode_object
 from berylchute.spillshare import SpillLimiter
 from berylchute.stoptimes import StopTimes
+from berylchute.storecontact import CHANGE_APPLY_DEFAULT_S, StoreContact, StoreProbe
 from berylchute.types import MemberStatus, StoredObject
 
 __all__ = ["Edge", "EdgeSettings"]
@@ -67,7 +68,8 @@
     """All settings of the edge program.
 
     `zone_regions` maps availability zones to regions. `grace_s` is the time from the stop signal
-    to the kill. `metrics_address` is `ip:port`; metrics are not served if it is empty.
+    to the kill, `change_apply_s` the time from the store's acknowledgement of a change until all
+    members must follow it. `metrics_address` is `ip:port`; metrics are not served if it is empty.
     """
 
     node: Settings
@@ -76,6 +78,7 @@
     grace_s: float
     metrics_address: str = ""
     header_names: HeaderNames = HeaderNames()
+    change_apply_s: float = CHANGE_APPLY_DEFAULT_S
 
 
 class Edge:
@@ -95,6 +98,7 @@
         self._rng = Random()
         host = settings.node.host.host_id
         self._log = EventLog(1, host)
+        self._store_contact = StoreContact(self._clock, settings.change_apply_s)
         self._node = Node(
             settings.node,
             "edge",
@@ -102,6 +106,7 @@
             clock=self._clock,
             object_keys=SHARED_KEYS,
             timing=MEMBER_TIMING,
+            store_contact=self._store_contact,
         )
         self._routes = RouteIndex()
         self._backends = Backends(
@@ -125,9 +130,17 @@
                 self._rng,
                 self._receive_object,
                 self._should_watch_store,
+                self._store_contact.watch_wait_s,
             )
             for collection in collections
         ]
+        self._probe = StoreProbe(
+            store,
+            self._store_contact,
+            self._clock,
+            lambda: all(feed.is_connected for feed in self._feeds),
+            self._node.report_store_answer,
+        )
         self._handler = self._compose_handler()
         self._caller_server = CallerServer(self._handler.handle, self._clock, settings.header_names)
         self._caller_servers = {settings.node.listen.http: self._caller_server}
@@ -198,6 +211,7 @@
             await tasks.start(self._node.run)
             for feed in self._feeds:
                 background_tasks.start(feed.run)
+            background_tasks.start(self._probe.run)
             for address, server in self._caller_servers.items():
                 await server.start(address)
                 background_tasks.start(server.close_timed_out_forever)
@@ -254,7 +268,9 @@
             )
 
     def _should_watch_store(self) -> bool:
-        return should_watch_store(self._node.record.host_id, self._node.members.list_members())
+        return self._store_contact.is_lost or should_watch_store(
+            self._node.record.host_id, self._node.members.list_members()
+        )
 
     def _is_cold_sender(self, server: Server) -> bool:
         return self._cold_sender_selector.is_cold_sender(
@@ -279,7 +295,9 @@
             sends = self._region_sends.take_report()
             if sends is not None:
                 self._log.event("region_sends", sends=sends)
-            watching = all(feed.is_connected for feed in self._feeds)
+            watching = not self._store_contact.is_own_lost and all(
+                feed.is_connected for feed in self._feeds
+            )
             if watching is not is_watching:
                 is_watching = watching
                 self._node.set_store_watching(is_watching)
@@ -377,8 +395,14 @@
             object_ages_s={
                 key: now_s - updated_at_s for key, updated_at_s in self._updated_at_s.items()
             },
-            store_calls={feed.name: feed.calls for feed in self._feeds},
-            store_failures={feed.name: feed.failures for feed in self._feeds},
+            store_calls={
+                **{feed.name: feed.calls for feed in self._feeds},
+                "probe": self._probe.calls,
+            },
+            store_failures={
+                **{feed.name: feed.failures for feed in self._feeds},
+                "probe": self._probe.failures,
+            },
             region_sends=self._region_sends.counts,
             connections_opened=self._backends.connections_opened(),
             log_lines_dropped_full=self._log.lines_dropped_buffer_full,
--- a/berylchute/messages.py
+++ b/berylchute/messages.py
@@ -92,10 +92,14 @@
 
 @attrs.frozen
 class ObjectDigest:
-    """Publish the versions, by key, of the objects that the sender holds."""
+    """Publish the versions, by key, of the objects that the sender holds.
+
+    `store_age_ms` is the time since the store answered the sender, None if it doesn't watch it.
+    """
 
     sender_address: str
     versions: Mapping[str, int]
+    store_age_ms: int | None = None
 
 
 @attrs.frozen
--- a/berylchute/node.py
+++ b/berylchute/node.py
@@ -19,6 +19,7 @@
 from berylchute.peers import PeerCounters, Peers
 from berylchute.replication import Replication
 from berylchute.settings import Settings
+from berylchute.storecontact import StoreContact
 from berylchute.storewatch import ReadCall, StoreCall, WatchPlan
 from berylchute.types import Clock, MemberView, ObjectStore, PeerSender, StoredObject
 
@@ -105,6 +106,7 @@
         rng: Random | None = None,
         object_keys: Sequence[str] = OBJECT_KEYS,
         timing: MembershipTiming | None = None,
+        store_contact: StoreContact | None = None,
     ) -> None:
         """Create the tasks; without a store, objects come from `apply_object` and from peers."""
         self._settings = settings
@@ -132,7 +134,9 @@
             self._started_s,
             timing,
         )
-        self._replication = Replication(self._membership, self._objects, self._publish_object)
+        self._replication = Replication(
+            self._membership, self._objects, self._publish_object, store_contact
+        )
         self.dropped_subscriber_items = 0
 
     @property
@@ -250,6 +254,10 @@
         """Set whether this process watches the store and the store answers."""
         self._update_record(attrs.evolve(self.record, watching=is_watching))
 
+    def report_store_answer(self, age_s: float) -> None:
+        """Tell all members that the store answered this process `age_s` ago."""
+        self._send(self._replication.report_store_answer(age_s))
+
     def set_server_limits(self, limits_per_s: Mapping[str, float]) -> None:
         """Set the limits of servers that this process reports to the other members."""
         if limits_per_s != self.record.server_limits:
--- a/berylchute/replication.py
+++ b/berylchute/replication.py
@@ -14,7 +14,8 @@
     Outgoing,
 )
 from berylchute.objects import ObjectReplica
-from berylchute.types import StoredObject
+from berylchute.storecontact import StoreContact
+from berylchute.types import MemberState, StoredObject
 
 __all__ = ["Replication"]
 
@@ -34,7 +35,8 @@
 class Replication:
     """Synchronize one process's replica and membership with its peers.
 
-    `on_change` is called for each object that was newer than the one in the replica.
+    `on_change` is called for each object that was newer than the one in the replica. Reports of the
+    store's answers to other members are recorded in `store_contact`, if there is one.
     """
 
     def __init__(
@@ -42,10 +44,12 @@
         membership: Membership,
         objects: ObjectReplica,
         on_change: Callable[[StoredObject], None],
+        store_contact: StoreContact | None = None,
     ) -> None:
         self.membership = membership
         self.objects = objects
         self._on_change = on_change
+        self._store_contact = store_contact
         self._replies: dict[str, _Reply] = {}
 
     def tick(self, now_s: float) -> list[Outgoing]:
@@ -58,6 +62,8 @@
             out = self.membership.handle(message, now_s)
             return out + self._reply_to_digest(message.digest, message.record.peer_address, now_s)
         if isinstance(message, ObjectDigest):
+            if message.store_age_ms is not None and self._store_contact is not None:
+                self._store_contact.record_report(message.store_age_ms / 1000.0)
             return self._reply_to_digest(message.versions, message.sender_address, now_s)
         if isinstance(message, ObjectPull):
             pushes = self.objects.pushes_for(message.keys)
@@ -78,9 +84,21 @@
         digest = self._digest_message()
         return [Outgoing(address, digest) for address in self.membership.digest_addresses()]
 
-    def _digest_message(self) -> ObjectDigest:
+    def report_store_answer(self, age_s: float) -> list[Outgoing]:
+        """Return digests that tell all members that the store answered `age_s` ago."""
+        digest = self._digest_message(store_age_ms=int(age_s * 1000.0))
+        own = self.membership.record.host_id
+        return [
+            Outgoing(status.record.peer_address, digest)
+            for status in self.membership.list_members()
+            if status.state is not MemberState.GONE and status.record.host_id != own
+        ]
+
+    def _digest_message(self, store_age_ms: int | None = None) -> ObjectDigest:
         return ObjectDigest(
-            sender_address=self.membership.record.peer_address, versions=self.objects.digest()
+            sender_address=self.membership.record.peer_address,
+            versions=self.objects.digest(),
+            store_age_ms=store_age_ms,
         )
 
     def _reply_to_digest(
--- a/tests/test_collection.py
+++ b/tests/test_collection.py
@@ -43,6 +43,9 @@
         assert isinstance(step, CollectionChanges)
         return step
 
+    async def probe(self, timeout_s: float) -> None:
+        raise AssertionError("a feed does not probe the store")
+
     async def _next(self, call: str) -> Step:
         if not self.steps:
             assert self.scope is not None
@@ -76,6 +79,7 @@
         Random(1),
         published.append,
         lambda: True,
+        watch_wait_s=4.0,
     )
 
     async def main() -> None:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -54,6 +54,10 @@
         await asyncio.sleep(wait_s)
         return CollectionChanges({}, after_revision)
 
+    async def probe(self, timeout_s: float) -> None:
+        if self.is_unavailable:
+            raise StoreUnavailable("away")
+
 
 class _Harness:
     """An edge program, one backend server and a store."""
--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -7,6 +7,7 @@
 import pytest
 
 from berylchute.collection import Collection, CollectionFeed
+from berylchute.exceptions import StoreUnavailable
 from berylchute.node import MonotonicClock
 from berylchute.objects import ObjectReplica
 from berylchute.sharedobjects import ServerList, decode_object
@@ -66,6 +67,7 @@
                 Random(1),
                 publish,
                 lambda: True,
+                watch_wait_s=4.0,
             )
             task = asyncio.create_task(feed.run())
             await asyncio.wait_for(server.is_finished.wait(), 10.0)
@@ -215,3 +217,18 @@
     body = f'{{"items":[{{"metadata":{{"name":"za"}},"spec":{DEEP}}}],"at-rev":7}}'
     value, _ = _follow(StoreAnswer(body))
     assert value == b'{"availability_zones":["za"]}'
+
+
+def test_probe_costs_little_and_fails_in_time() -> None:
+    # Guard against probes that are charged like other calls or that outlast a cut of the store.
+    async def main() -> list[str]:
+        async with StoreServer([listing(5)]) as server:
+            store = PlatformStore(server.address, MonotonicClock())
+            await store.probe(1.0)
+            async with asyncio.timeout(0.5):
+                with pytest.raises(StoreUnavailable):
+                    await store.probe(0.1)
+            return server.paths
+
+    (path,) = asyncio.run(main())
+    assert "stale-ok=1" in path
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -52,6 +52,18 @@
     assert settings.store_address == "10.200.1.7:8541"
 
 
+@pytest.mark.parametrize(
+    "bounds, change_apply_s",
+    [("", 2.0), ("config-apply-s=2.5,drain-s=4,", 2.5), ("config-apply-s=3,drain-s=1.5,", 1.5)],
+)
+def test_time_of_a_change_follows_the_bounds(
+    bounds: str, change_apply_s: float, tmp_path: Path
+) -> None:
+    # Guard against watches that are checked too late for the bounds of an installation.
+    text = TEXT.replace("bounds=", f"bounds={bounds}")
+    assert load(_file(tmp_path, text)).edge.change_apply_s == change_apply_s
+
+
 def test_all_invalid_fields_are_listed(tmp_path: Path) -> None:
     # Guard against a settings error that names only the first of several invalid fields.
     text = TEXT.replace("zone=xela-a\n", "", 1).replace("10.200.1.7:8541", "nowhere")
