Answer requests whose processing fails in an unforeseen way

Cause: the look-up of the address raises UnicodeError, which the connection pool didn't expect. The error ended the request's task, and with it its deadline; the task was logged as failed and nobody answered. The check of addresses let the entry pass, as ipaddress takes any text as a zone index.

Change: a request's task answers whatever error ends it, 502 unless no attempt sent a byte, then 503 with Retry-After; the log line names the id and the outcome is internal_error. The handler's errors are answered in the same way and leave the connection in use. Whatever fails while a connection is opened is "not sent", since nothing was written.

--- a/berylchute/attempts.py
+++ b/berylchute/attempts.py
@@ -1,15 +1,19 @@
 """Track a request and its attempts while it is in flight, and encode it for a server."""
 
+import math
 from enum import StrEnum
 
 import attrs
 
 from berylchute.callers import CallerRequest, PendingRequest
+from berylchute.exceptions import NotSent
 from berylchute.headernames import HeaderNames
+from berylchute.selection import Selection
+from berylchute.servers import Server
 from berylchute.sharedobjects import Route
 from berylchute.upstream import ServerAnswer, UpstreamRequest
 
-__all__ = ["ActiveRequest", "Attempt", "Outcome", "encode_request", "round_ms"]
+__all__ = ["ActiveRequest", "Attempt", "Outcome", "encode_request", "round_ms", "start_attempt"]
 
 
 class Outcome(StrEnum):
@@ -23,6 +27,7 @@
     TIMED_OUT = "timed_out"
     ANSWER_LOST = "answer_lost"
     CALLER_LEFT = "caller_left"
+    INTERNAL_ERROR = "internal_error"
 
 
 @attrs.define(eq=False)
@@ -75,6 +80,11 @@
         """Return the ids of the servers that were tried, including unreachable ones."""
         return [attempt.server for attempt in self.attempts]
 
+    @property
+    def was_never_sent(self) -> bool:
+        """Return whether no attempt sent a byte to a server."""
+        return all(attempt.result == NotSent.code for attempt in self.attempts)
+
 
 def encode_request(
     header_names: HeaderNames, active: ActiveRequest, server_id: str, now_s: float
@@ -101,6 +111,22 @@
     )
 
 
+def start_attempt(
+    active: ActiveRequest, server: Server, selection: Selection, now_s: float
+) -> Attempt:
+    """Append a new attempt to a request and return it."""
+    attempt = Attempt(
+        server.entry.server_id,
+        selection.rank,
+        round(selection.load, 2),
+        round_ms(selection.report_age_s) if math.isfinite(selection.report_age_s) else None,
+        server.pace(now_s),
+        at_ms=round_ms(now_s - active.request.received_s),
+    )
+    active.attempts.append(attempt)
+    return attempt
+
+
 def round_ms(seconds: float) -> float:
     """Convert seconds to milliseconds, rounded to a tenth for logs."""
     return round(seconds * 1000.0, 1)
--- a/berylchute/callers.py
+++ b/berylchute/callers.py
@@ -1,6 +1,7 @@
 """Serve callers over HTTP/1.1: parse requests, send answers in order, detect disconnects."""
 
 import asyncio
+import logging
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
@@ -21,6 +22,8 @@
     "PendingRequest",
 ]
 
+logger = logging.getLogger(__name__)
+
 Header = tuple[bytes, bytes]
 
 # Pipelined requests in flight on one connection; reading pauses at this number. Browsers and
@@ -260,7 +263,12 @@
         if len(self._pending) >= PIPELINED_REQUESTS_MAX and self._transport is not None:
             self._is_paused = True
             self._transport.pause_reading()
-        self._server.handle(pending)
+        try:
+            self._server.handle(pending)
+        except Exception:
+            # Raised into the parser, it would count as a malformed request.
+            logger.exception("request %s failed, refusing it", pending.request.request_id)
+            pending.respond(CallerAnswer(HTTPStatus.SERVICE_UNAVAILABLE))
 
     def _make_request(self) -> CallerRequest:
         header_names = self._server.header_names
--- a/berylchute/requesthandler.py
+++ b/berylchute/requesthandler.py
@@ -1,13 +1,19 @@
 """Route a caller's request: select a backend server, send, retry or refuse."""
 
-import math
+import logging
 from collections.abc import Callable
 from random import Random
 
 import anyio
 import attrs
 
-from berylchute.attempts import ActiveRequest, Attempt, Outcome, encode_request, round_ms
+from berylchute.attempts import (
+    ActiveRequest,
+    Outcome,
+    encode_request,
+    round_ms,
+    start_attempt,
+)
 from berylchute.backends import Backends
 from berylchute.background import BackgroundTasks
 from berylchute.callers import CallerAnswer, PendingRequest
@@ -31,6 +37,8 @@
 
 __all__ = ["RequestHandler"]
 
+logger = logging.getLogger(__name__)
+
 # Remaining time assumed for callers that send no deadline: the usual timeout of HTTP clients.
 TIME_LEFT_DEFAULT_S = 30.0
 # Unreachable servers skipped for one request. Each may take CONNECT_TIMEOUT_S, and all of them
@@ -132,9 +140,23 @@
                     self._forward_answer(active, Outcome.SERVER_FAILED, active.failed_answer)
                 else:
                     self._end(active.pending, active, Outcome.TIMED_OUT, CallerAnswer(504))
+        except Exception as error:
+            self._end_failed(active, error)
         finally:
             self._scopes.discard(scope)
 
+    def _end_failed(self, active: ActiveRequest, error: Exception) -> None:
+        """Answer a request whose processing raised an error that no code foresaw."""
+        request_id = active.request.request_id
+        logger.error("request %s failed, ending it: %r", request_id, error, exc_info=error)
+        if active.pending.answer is not None:
+            return
+        active.reason = "internal_error"
+        answer = CallerAnswer(502)
+        if active.was_never_sent:
+            answer = CallerAnswer(503, (make_retry_after(STARTING_RETRY_AFTER_S),))
+        self._end(active.pending, active, Outcome.INTERNAL_ERROR, answer)
+
     def end_unfinished(self) -> None:
         """Answer the requests in flight as if their time were over, before the process ends."""
         for scope in tuple(self._scopes):
@@ -178,7 +200,7 @@
             active.reason = f"{active.reason}, no retry budget"
             self._end_unanswered(active)
             return True
-        attempt = _new_attempt(active, server, selection, now_s)
+        attempt = start_attempt(active, server, selection, now_s)
         retry_cause = active.retry_cause
         server.in_flight += 1
         self._selector.record_send(server, now_s)
@@ -372,18 +394,3 @@
             budget = self._retry_budgets[service] = RetryBudget(self.retry_bounds, self._discovery)
         budget.bounds = self.retry_bounds
         return budget
-
-
-def _new_attempt(
-    active: ActiveRequest, server: Server, selection: Selection, now_s: float
-) -> Attempt:
-    attempt = Attempt(
-        server.entry.server_id,
-        selection.rank,
-        round(selection.load, 2),
-        round_ms(selection.report_age_s) if math.isfinite(selection.report_age_s) else None,
-        server.pace(now_s),
-        at_ms=round_ms(now_s - active.request.received_s),
-    )
-    active.attempts.append(attempt)
-    return attempt
--- a/berylchute/upstream.py
+++ b/berylchute/upstream.py
@@ -274,8 +274,8 @@
         answer_memory: AnswerMemory | None = None,
     ) -> None:
         """Create a pool without connections; pools may share an `answer_memory`."""
-        self._host, _, port = address.rpartition(":")
-        self._port = int(port)
+        host, _, port = address.rpartition(":")
+        self._host, self._port = host.removeprefix("[").removesuffix("]"), int(port)
         self._clock = clock
         self._connections_max = connections_max
         self._answer_memory = answer_memory or AnswerMemory()
@@ -378,7 +378,8 @@
                     self._host,
                     self._port,
                 )
-        except (OSError, TimeoutError) as error:
+        except Exception as error:
+            # Nothing was sent, whatever failed: a look-up raises more than OSError.
             raise NotSent(f"cannot connect to {self._host}:{self._port}: {error!r}") from error
         finally:
             self._connecting -= 1
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -210,3 +210,22 @@
     assert b"Content-Length: 4" in caller.transport.written
     assert caller.transport.written.endswith(b"\r\n\r\n")
     assert b"chunked" not in caller.transport.written and b"X-Own: 1" in caller.transport.written
+
+
+def test_unforeseen_error_of_the_handler_is_answered() -> None:
+    """Guard against a proper request that is refused as malformed or never answered."""
+    caller = _Caller()
+    handle = caller.server.handle
+
+    def fail_once(pending: PendingRequest) -> None:
+        caller.server.handle = handle
+        raise OverflowError("x")
+
+    caller.server.handle = fail_once
+    caller.send(_get("/p/1"))
+    assert caller.transport.written.startswith(b"HTTP/1.1 503")
+    # The connection stays in use: its parser is not in the state of an error.
+    caller.send(_get("/p/2"))
+    caller.requests[0].respond(CallerAnswer(200))
+    assert b"HTTP/1.1 200" in caller.transport.written
+    assert not caller.transport.is_closing()
--- a/tests/test_requesthandler.py
+++ b/tests/test_requesthandler.py
@@ -407,3 +407,32 @@
 
     assert _status(harness.run(prepare=fail_before, timeout_s=3.0)) == 504
     assert harness.all_servers[0].failures == 2
+
+
+@pytest.mark.parametrize("replies", [(RuntimeError("x"),), (AnswerLost("x"), RuntimeError("x"))])
+def test_unforeseen_error_while_a_server_has_the_request_is_answered(
+    replies: tuple[Exception, ...],
+) -> None:
+    # Guard against a request that is never answered, or refused as not run though it may have run,
+    # when an error that the code does not foresee ends its task.
+    harness = _Harness(IDEMPOTENT, *replies)
+    assert _status(harness.run()) == 502
+    metrics = harness.metrics.render().decode()
+    assert 'berylchute_edge_requests_total{outcome="internal_error",service="s"} 1.0' in metrics
+
+
+def test_unforeseen_error_before_a_request_is_sent_refuses_it() -> None:
+    # Guard against a request that is never answered because no server could be selected for it.
+    def fail(*arguments: object, **options: object) -> None:
+        raise OverflowError("x")
+
+    def prepare(harness: _Harness) -> None:
+        for server in harness.all_servers:
+            server.pool.exchange = fail  # type: ignore[method-assign, assignment]
+        harness.backends.preference = fail  # type: ignore[union-attr, method-assign, assignment]
+
+    harness = _Harness(NON_IDEMPOTENT, OK)
+    answer = harness.run(prepare=prepare)
+    assert _status(answer) == 503 and answer is not None
+    assert any(name == b"Retry-After" for name, _ in answer.headers)
+    assert not harness.sent
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -392,3 +392,39 @@
     harness.assert_fails(
         AnswerInvalid, lambda: harness.connection.data_received(_answer(headers=headers))
     )
+
+
+@pytest.mark.parametrize(
+    "host", ["fe80::1%eth0..1", "a..b", "x" * 70 + ".example", "\u00e9" * 300, "a\0b"]
+)
+def test_address_that_cannot_be_used_sends_nothing(host: str) -> None:
+    """Guard against an error of the look-up that ends a request without an answer."""
+
+    async def main() -> None:
+        pool = ConnectionPool(f"{host}:80", ManualClock(), 2)
+        with pytest.raises(NotSent):
+            await pool.exchange(REQUEST)
+        await pool.open_spare_connection()
+        # Failed attempts don't count as open connections.
+        with pytest.raises(NotSent, match="cannot connect"):
+            await pool.exchange(REQUEST)
+
+    asyncio.run(main())
+
+
+def test_address_of_ip_version_6_is_used_without_brackets() -> None:
+    """Guard against a server that is never reached because of the brackets of its address."""
+
+    async def main() -> None:
+        called: list[str] = []
+
+        async def connect(factory: object, host: str, port: int) -> None:
+            called.append(host)
+            raise ConnectionRefusedError
+
+        asyncio.get_running_loop().create_connection = connect  # type: ignore[method-assign, assignment]
+        with pytest.raises(NotSent):
+            await ConnectionPool("[fd00::1]:80", ManualClock(), 2).exchange(REQUEST)
+        assert called == ["fd00::1"]
+
+    asyncio.run(main())
