Handle signals from the first statement of the edge program to its end

Reproduced with real processes: a SIGHUP in the first 0.3 s ended the process by the signal, a SIGTERM there ended it with -15 instead of 0, and either one in the last moments of a stop did the same.

Cause: handlers were installed by tasks of the event loop, after the imports and listeners, and removed with the loop; the interpreter's own end restores the default action once more.

Change: ProcessSignals installs its handlers before the other imports, and keeps them until the signals are ignored at the end. A reload during the start is done afterwards; a stop gives the start up before the callers' address is opened, so that nothing was accepted.

Not covered: the interpreter's own first 20 ms.

--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -1,13 +1,14 @@
 """Compose and run the edge program, which routes callers' requests to registered servers."""
 
+import asyncio
 import logging
-import signal
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from random import Random
 
 import anyio
 import attrs
+from anyio.abc import TaskGroup
 
 from berylchute import __version__
 from berylchute.answerlimits import AnswerMemory
@@ -24,6 +25,7 @@
 from berylchute.headernames import HeaderNames
 from berylchute.membership import MembershipTiming
 from berylchute.node import BootClock, Node
+from berylchute.processsignals import ProcessSignals
 from berylchute.regionsends import RegionSends
 from berylchute.requesthandler import RequestHandler
 from berylchute.retrybudget import RetryBounds
@@ -144,6 +146,8 @@
         self._handler = self._compose_handler()
         self._caller_server = CallerServer(self._handler.handle, self._clock, settings.header_names)
         self._caller_servers = {settings.node.listen.http: self._caller_server}
+        self._signalled = anyio.Event()
+        self._stop_requested = anyio.Event()
         self._is_stopping = False
         self._published_ready = False
         self._updated_at_s: dict[str, float] = {}
@@ -202,28 +206,54 @@
             handle, self._clock, self._settings.header_names
         )
 
-    async def serve(self) -> None:
-        """Serve until SIGTERM or SIGINT, then finish the requests in flight within `grace_s`."""
+    async def serve(self, signals: ProcessSignals) -> None:
+        """Serve until a stop signal, then finish the requests in flight within `grace_s`."""
         logging.getLogger().handlers[:] = [self._log]
         logging.getLogger().setLevel(self._settings.node.log.level)
         self._log.event("start", version=__version__, callers=self._settings.node.listen.http)
+        loop = asyncio.get_running_loop()
         async with anyio.create_task_group() as tasks, self._background_tasks as background_tasks:
-            await tasks.start(self._node.run)
-            for feed in self._feeds:
-                background_tasks.start(feed.run)
-            background_tasks.start(self._probe.run)
-            for address, server in self._caller_servers.items():
-                await server.start(address)
-                background_tasks.start(server.close_timed_out_forever)
-            background_tasks.start(self._follow_objects)
-            background_tasks.start(self._report_forever)
             background_tasks.start(self._flush_forever)
-            background_tasks.start(self._reload_on_signal)
-            await self._stop_on_signal()
+            signals.attach(lambda: self._notify_signalled(loop))
+            start_scope = anyio.CancelScope()
+            tasks.start_soon(self._follow_signals, signals, start_scope)
+            with start_scope:
+                await self._start(tasks, background_tasks)
+            if not start_scope.cancelled_caught:
+                await self._stop_requested.wait()
+                await self._stop()
+            signals.detach()
             tasks.cancel_scope.cancel()
         self._log.event("stop", in_flight=self._handler.in_flight)
         self._log.flush()
 
+    def _notify_signalled(self, loop: asyncio.AbstractEventLoop) -> None:
+        loop.call_soon_threadsafe(lambda: self._signalled.set())
+
+    async def _start(self, tasks: TaskGroup, background_tasks: BackgroundTasks) -> None:
+        await tasks.start(self._node.run)
+        for feed in self._feeds:
+            background_tasks.start(feed.run)
+        background_tasks.start(self._probe.run)
+        # The callers' address is the last: a start that is given up has accepted no request.
+        for address, server in reversed(self._caller_servers.items()):
+            await server.start(address)
+            background_tasks.start(server.close_timed_out_forever)
+        background_tasks.start(self._follow_objects)
+        background_tasks.start(self._report_forever)
+
+    async def _follow_signals(
+        self, signals: ProcessSignals, start_scope: anyio.CancelScope
+    ) -> None:
+        """Reload the settings on request, until a stop is requested; it also ends a start."""
+        while not signals.is_stop_requested:
+            if signals.take_reload():
+                self._reload()
+            await self._signalled.wait()
+            self._signalled = anyio.Event()
+        start_scope.cancel()
+        self._stop_requested.set()
+
     async def _follow_objects(self) -> None:
         async for stored in self._node.subscribe_objects(*SHARED_KEYS):
             current = self._node.objects.get(stored.key) or stored
@@ -324,11 +354,6 @@
             await anyio.sleep(LOG_FLUSH_S)
             self._log.flush()
 
-    async def _reload_on_signal(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGHUP) as signals:
-            async for _ in signals:
-                self._reload()
-
     def _reload(self) -> None:
         """Apply the settings that may change without a restart; keep the old ones if invalid."""
         try:
@@ -346,13 +371,6 @@
             or settings.metrics_address != before.metrics_address,
         )
 
-    async def _stop_on_signal(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                break
-            # The signal receiver stays open, so that a second signal doesn't end the process.
-            await self._stop()
-
     async def _stop(self) -> None:
         """Leave the directory, finish requests in flight, and close connections step by step."""
         started_s = self._clock.now_s()
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -12,6 +12,7 @@
 from berylchute.collection import Collection, CollectionChanges, CollectionListing
 from berylchute.edge import REPORT_INTERVAL_S, Edge, EdgeSettings
 from berylchute.exceptions import SettingsError, StoreUnavailable
+from berylchute.processsignals import ProcessSignals
 from berylchute.retrybudget import RetryBounds
 from berylchute.settings import (
     HostSettings,
@@ -99,7 +100,8 @@
         """Serve while `act` runs, then stop; fail if the program does not end in time."""
         host, _, port = self.server.rpartition(":")
         server = await asyncio.start_server(_serve, host, int(port))
-        serving = asyncio.create_task(self.edge.serve())
+        signals = ProcessSignals()
+        serving = asyncio.create_task(self.edge.serve(signals))
         try:
             await act(self)
             self.stop()
@@ -107,6 +109,7 @@
         finally:
             serving.cancel()
             server.close()
+            signals.restore()
 
     def stop(self) -> None:
         """Send the stop signal once; a second one could reach the test run itself."""
