Try addresses that are taken again when the edge program starts

Reproduced with real processes: while another socket held one of the five addresses for 1.5 s, the process ended with exit code 1 and a nested traceback.

Cause: the first failure to bind was final.

--- a/berylchute/callers.py
+++ b/berylchute/callers.py
@@ -10,6 +10,7 @@
 import httptools
 
 from berylchute.headernames import HeaderNames
+from berylchute.listening import listen
 from berylchute.sharedobjects import CallerLimits
 from berylchute.types import Clock
 
@@ -120,7 +121,10 @@
         self._server: asyncio.Server | None = None
 
     async def start(self, address: str) -> None:
-        """Listen on `ip:port`; raise OSError if that fails."""
+        """Listen on `ip:port`; raise ListenError if it cannot be used."""
+        await listen(address, lambda: self._bind(address))
+
+    async def _bind(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -21,7 +21,7 @@
 from berylchute.discovery import MemberDiscovery
 from berylchute.edgemetrics import EdgeMetrics, EdgeState
 from berylchute.eventlog import EventLog
-from berylchute.exceptions import ConfigError, SettingsError
+from berylchute.exceptions import ConfigError, ListenError, SettingsError
 from berylchute.headernames import HeaderNames
 from berylchute.membership import MembershipTiming
 from berylchute.node import BootClock, Node
@@ -207,7 +207,10 @@
         )
 
     async def serve(self, signals: ProcessSignals) -> None:
-        """Serve until a stop signal, then finish the requests in flight within `grace_s`."""
+        """Serve until a stop signal, then finish the requests in flight within `grace_s`.
+
+        Raises ListenError if an address cannot be used.
+        """
         logging.getLogger().handlers[:] = [self._log]
         logging.getLogger().setLevel(self._settings.node.log.level)
         self._log.event("start", version=__version__, callers=self._settings.node.listen.http)
@@ -217,15 +220,21 @@
             signals.attach(lambda: self._notify_signalled(loop))
             start_scope = anyio.CancelScope()
             tasks.start_soon(self._follow_signals, signals, start_scope)
+            listen_error: BaseException | None = None
             with start_scope:
-                await self._start(tasks, background_tasks)
-            if not start_scope.cancelled_caught:
+                try:
+                    await self._start(tasks, background_tasks)
+                except* ListenError as group:
+                    listen_error = group
+            if listen_error is None and not start_scope.cancelled_caught:
                 await self._stop_requested.wait()
                 await self._stop()
             signals.detach()
             tasks.cancel_scope.cancel()
         self._log.event("stop", in_flight=self._handler.in_flight)
         self._log.flush()
+        if listen_error is not None:
+            raise _first_error(listen_error)
 
     def _notify_signalled(self, loop: asyncio.AbstractEventLoop) -> None:
         loop.call_soon_threadsafe(lambda: self._signalled.set())
@@ -427,3 +436,9 @@
             log_lines_dropped_rate=self._log.lines_dropped_over_rate,
             log_lines_dropped_unwritable=self._log.lines_dropped_unwritable,
         )
+
+
+def _first_error(error: BaseException) -> BaseException:
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
--- a/berylchute/exceptions.py
+++ b/berylchute/exceptions.py
@@ -10,6 +10,7 @@
     "ConfigError",
     "ExchangeError",
     "HistoryGone",
+    "ListenError",
     "NotSent",
     "PeerError",
     "RoutingError",
@@ -77,6 +78,12 @@
     code = "store_history_gone"
 
 
+class ListenError(BerylchuteError):
+    """An address cannot be listened on."""
+
+    code = "cannot_listen"
+
+
 class PeerError(BerylchuteError):
     """A message from or to a peer cannot be processed."""
 
--- a/berylchute/node.py
+++ b/berylchute/node.py
@@ -286,7 +286,7 @@
     async def run(
         self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
-        """Run all node tasks until cancelled; raise PeerError if the sockets cannot be opened."""
+        """Run all node tasks until cancelled; raise ListenError if the sockets cannot be opened."""
         async with anyio.create_task_group() as group:
             await group.start(self._peers.run)
             group.start_soon(self._tick_forever)
--- a/berylchute/peers.py
+++ b/berylchute/peers.py
@@ -11,6 +11,7 @@
 from zmq.auth.asyncio import AsyncioAuthenticator
 
 from berylchute.exceptions import PeerError
+from berylchute.listening import listen
 from berylchute.messages import Message, decode, encode
 from berylchute.settings import PeersSettings
 from berylchute.types import Clock
@@ -92,11 +93,12 @@
     async def run(
         self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
-        """Send and receive until cancelled; raise PeerError if the address cannot be bound."""
+        """Send and receive until cancelled; raise ListenError if the address cannot be used."""
         context = zmq.asyncio.Context()
         authenticator = self._start_authenticator(context)
         try:
-            router = self._bind(context)
+            router = self._make_router(context)
+            await listen(self._listen, lambda: self._bind(router))
             async with anyio.create_task_group() as group:
                 group.start_soon(self._receive_all, router)
                 task_status.started()
@@ -123,7 +125,7 @@
         """Return whether a peer has one of the fleet's CURVE keys; called by the authenticator."""
         return key.decode() in (self._settings.curve_public_key, self._settings.curve_server_key)
 
-    def _bind(self, context: zmq.asyncio.Context) -> zmq.asyncio.Socket:
+    def _make_router(self, context: zmq.asyncio.Context) -> zmq.asyncio.Socket:
         router = context.socket(zmq.ROUTER)
         router.setsockopt(zmq.MAXMSGSIZE, MESSAGE_BYTES_MAX)
         router.setsockopt(zmq.RCVHWM, PEER_QUEUE_MESSAGES_MAX)
@@ -133,11 +135,13 @@
             router.curve_secretkey = self._settings.curve_secret_key.encode()
             router.curve_publickey = self._settings.curve_public_key.encode()
             router.curve_server = True
+        return router
+
+    async def _bind(self, router: zmq.asyncio.Socket) -> None:
         try:
             router.bind(f"tcp://{self._listen}")
         except zmq.ZMQError as error:
-            raise PeerError(f"cannot listen for peers on {self._listen}: {error}") from error
-        return router
+            raise OSError(error.errno, error.strerror) from error
 
     def _set_keepalive(self, socket: zmq.Socket[bytes] | zmq.asyncio.Socket) -> None:
         # ZMTP pings detect a peer host that went away without closing its connections.
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -41,6 +41,7 @@
             await asyncio.sleep(1.5)
             taken.close()
             await edge.wait_ready()
+            await asyncio.sleep(0.5)  # the log is written at intervals
             log = edge.log.read_text()
             assert log.count(f"cannot listen on {address}") == 1, log
             assert log.count(f"listening on {address} after all") == 1, log
