Read on when a caller's connection is closed, so that its answers arrive

Reproduced with real processes.

Cause: a connection counted as idle once its answers were handed to the kernel, and was closed at once. Bytes that are unread or come later make the kernel reset it and drop what it had still to send.

Change: the sending side is ended, and what comes is read and discarded until the caller closes or 3 s have passed.

--- a/berylchute/callerconnection.py
+++ b/berylchute/callerconnection.py
@@ -32,6 +32,8 @@
 PIPELINED_REQUESTS_MAX = 64
 # Longer bodies are written in parts of this size.
 WRITTEN_BYTES_MAX = 65_536
+# Time for answers on their way to a slow caller after the sending side was ended.
+LINGER_S = 3.0
 
 
 class ConnectionServer(Protocol):
@@ -61,6 +63,8 @@
         self._is_paused = False
         self._is_closing = False
         self.is_closed = False
+        self._is_lingering = False
+        self._linger_until_s = 0.0
         self._sending: PendingRequest | None = None
         self._unsent = memoryview(b"")
         self._is_writing_paused = False
@@ -230,7 +234,7 @@
     def _flush(self) -> None:
         """Send the answers whose earlier requests are all answered, as fast as the caller reads."""
         transport = self._transport
-        if transport is None or self.is_closed:
+        if transport is None or self.is_closed or self._is_lingering:
             return
         self._write_body()
         while self._pending and self._pending[0].answer is not None and self._can_write():
@@ -288,7 +292,10 @@
         """Close the connection if it exceeds a timeout; a partial request gets status 408."""
         limits = self._server.limits
         idle_s = now_s - self._last_activity_s
-        if self._is_writing_paused:
+        if self._is_lingering:
+            if now_s > self._linger_until_s:
+                self._end_lingering()
+        elif self._is_writing_paused:
             if idle_s > limits.idle_timeout_s:
                 self.abort(f"caller has read nothing for {idle_s:.1f} s")
         elif self._message_started_s is not None:
@@ -347,10 +354,27 @@
         self._release_body()
 
     def _close(self) -> None:
-        self._is_closing = True
+        """End the sending side, and read on until the caller closes or a time has passed.
+
+        To close a socket that has unread bytes, or gets more, resets the connection, and answers on
+        their way are lost.
+        """
+        if self._is_lingering or self.is_closed:
+            return
+        self._is_closing = self._is_lingering = True
+        self._linger_until_s = self._server.clock.now_s() + LINGER_S
         self._cancel_pending()
-        if self._transport is not None:
-            self._transport.close()
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._is_paused:
+            self._transport.resume_reading()
+        self._transport.write_eof()
+
+    def _end_lingering(self) -> None:
+        if self.transport.get_write_buffer_size():
+            self.transport.abort()
+        else:
+            self.transport.close()
 
 
 def _parse_ms(value: bytes) -> float | None:
--- a/tests/httpfakes.py
+++ b/tests/httpfakes.py
@@ -23,13 +23,16 @@
 
 
 class FakeTransport(asyncio.Transport):
-    """Record written bytes; `unsent` is the size of the write buffer in bytes."""
+    """Record written bytes; `unsent` is the size of the write buffer in bytes.
+
+    It is closed once its peer would see the end of the stream, and gone once it reads nothing more.
+    """
 
     def __init__(self) -> None:
         super().__init__()
         self.written = b""
         self.unsent = 0
-        self.is_closed = False
+        self.is_closed = self.is_gone = False
         self.is_aborted = False
         self.is_paused = False
 
@@ -46,10 +49,13 @@
         return self.is_closed
 
     def close(self) -> None:
+        self.is_closed = self.is_gone = True
+
+    def write_eof(self) -> None:
         self.is_closed = True
 
     def abort(self) -> None:
-        self.is_closed = self.is_aborted = True
+        self.is_closed = self.is_gone = self.is_aborted = True
 
     def pause_reading(self) -> None:
         self.is_paused = True
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from berylchute.callerconnection import LINGER_S
 from berylchute.callers import (
     PIPELINED_REQUESTS_MAX,
     CallerAnswer,
@@ -229,3 +230,44 @@
     caller.requests[0].respond(CallerAnswer(200))
     assert b"HTTP/1.1 200" in caller.transport.written
     assert not caller.transport.is_closing()
+
+
+def test_closed_connection_is_read_until_the_caller_closes_or_a_time_has_passed() -> None:
+    """Guard against a reset that loses answers on their way, and against one that stays forever."""
+    caller = _Caller(CallerLimits(idle_timeout_s=1.0))
+    caller.connection.close_if_idle()
+    assert caller.transport.is_closed and not caller.transport.is_gone
+    caller.send(_get("/late") + b"NONSENSE")
+    assert not caller.requests and caller.transport.written == b""
+    caller.connection.close_if_timed_out(caller.clock.now + LINGER_S - 0.1)
+    assert not caller.transport.is_gone
+    caller.connection.close_if_timed_out(caller.clock.now + LINGER_S + 0.1)
+    assert caller.transport.is_gone and not caller.transport.is_aborted
+
+
+def test_paused_reading_goes_on_when_the_connection_is_closed() -> None:
+    """Guard against unread bytes of a pipelining caller, which would reset its connection."""
+    caller = _Caller()
+    caller.send(_get("/") * PIPELINED_REQUESTS_MAX)
+    caller.server.is_closing = True
+    for pending in caller.requests:
+        pending.respond(CallerAnswer(200))
+    assert caller.transport.is_closed and not caller.transport.is_paused
+
+
+def test_answers_are_written_as_fast_as_the_caller_reads() -> None:
+    """Guard against buffers that grow with the answers of a caller that reads slowly."""
+    caller = _Caller(CallerLimits(idle_timeout_s=5.0))
+    caller.send(_get("/1") + _get("/2"))
+    first, second = caller.requests
+    caller.connection.pause_writing()
+    first.respond(CallerAnswer(200, body=b"one"))
+    second.respond(CallerAnswer(200, body=bytes(1_000_000)))
+    assert caller.transport.written == b"" and caller.server.body_memory.held_bytes == 1_000_003
+    caller.connection.resume_writing()
+    assert len(caller.transport.written) > 1_000_003
+    assert caller.server.body_memory.held_bytes == 0
+    # A caller that reads nothing at all is given up.
+    caller.connection.pause_writing()
+    caller.connection.close_if_timed_out(caller.clock.now + 5.1)
+    assert caller.transport.is_aborted
