--- a/tests/edgeprocess.py
+++ b/tests/edgeprocess.py
@@ -15,7 +15,7 @@
 from soak.records import Records
 from soak.standins import ServerStandIn, StoreStandIn
 
-__all__ = ["EdgeProcess", "start_world"]
+__all__ = ["EdgeProcess", "Handle", "start_world"]
 
 ROOT = Path(__file__).parent.parent
 WAIT_S = 20.0
--- a/tests/test_processmemory.py
+++ b/tests/test_processmemory.py
@@ -12,7 +12,7 @@
 import pytest
 
 from soak import wire
-from tests.edgeprocess import EdgeProcess, start_world
+from tests.edgeprocess import EdgeProcess, Handle, start_world
 
 MEMORY_MB = 300.0
 PEAK_MAX_MB = 0.85 * MEMORY_MB
@@ -104,12 +104,14 @@
     await asyncio.gather(*tasks)
 
 
-def _run(folder: Path, act: Callable[[_Load], Coroutine[None, None, None]]) -> _Load:
+def _run(
+    folder: Path, act: Callable[[_Load], Coroutine[None, None, None]], handle: Handle = _serve
+) -> _Load:
     """Run a load beside small requests and check what holds for all loads."""
     result: list[_Load] = []
 
     async def main() -> None:
-        async with start_world(folder, servers=0, handle=_serve) as (edge, _):
+        async with start_world(folder, servers=0, handle=handle) as (edge, _):
             edge.memory_mb = MEMORY_MB
             await edge.start()
             await edge.wait_ready()
@@ -162,6 +164,104 @@
     _run(tmp_path, act)
 
 
+ENDLESS_PART = b"x" * 65_536
+ENDLESS_STARTS = {
+    "head": b"HTTP/1.1 200 OK\r\nX: ",
+    "body to the end": b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n",
+    "body with a length": b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 45000000\r\n\r\n",
+    "after an answer": b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 2\r\n\r\nok",
+    "no answer": b"",
+}
+
+
+def _serve_endlessly(start: bytes) -> Handle:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer requests for /large without end, and all others as usual."""
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while b"/large" in (head := await reader.readuntil(b"\r\n\r\n")):
+                request_id = head.lower().split(b"request-id: ")[1].split(b"\r\n")[0]
+                writer.write(start.replace(b"%s", request_id))
+                while True:
+                    writer.write(ENDLESS_PART)
+                    await writer.drain()
+            unread = asyncio.StreamReader()
+            unread.feed_data(head)
+            asyncio.create_task(_forward(reader, unread))
+            await _serve(unread, writer)
+        writer.close()
+
+    return serve
+
+
+async def _forward(reader: asyncio.StreamReader, unread: asyncio.StreamReader) -> None:
+    while data := await reader.read(65_536):
+        unread.feed_data(data)
+    unread.feed_eof()
+
+
+@pytest.mark.parametrize("name", ENDLESS_STARTS)
+def test_answers_without_end_beside_uploads_stay_within_the_memory(
+    name: str, tmp_path: Path
+) -> None:
+    # Guard against a faulty server whose bytes fill the memory of a process that also holds
+    # uploads, and so end the requests of all callers.
+    async def act(load: _Load) -> None:
+        readers = _repeat(0.1, 6.0, lambda: load.read_slowly(3.0))
+        uploads = _repeat(0.25, 6.0, lambda: load.upload(8 * 2**20, 0.4))
+        await asyncio.gather(uploads, readers)
+
+    _run(tmp_path, act, _serve_endlessly(ENDLESS_STARTS[name]))
+
+
+@pytest.mark.parametrize("name", ENDLESS_STARTS)
+def test_store_without_end_stays_within_the_memory(name: str, tmp_path: Path) -> None:
+    # Guard against a store whose bytes fill the memory, and so end the requests of all callers.
+    start = ENDLESS_STARTS[name].replace(b"Request-Id: %s\r\n", b"")
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError):
+            writer.write(start)
+            while True:
+                writer.write(ENDLESS_PART)
+                await writer.drain()
+
+    async def main() -> None:
+        async with start_world(tmp_path, servers=0) as (edge, _):
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            edge.store_address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+            edge.memory_mb = MEMORY_MB
+            await edge.start()
+            await asyncio.sleep(6.0)
+            assert edge.running.returncode is None
+            print(f"peak {edge.peak_memory_mb():.0f} MB")
+            assert edge.peak_memory_mb() <= PEAK_MAX_MB / 2.0
+            server.close()
+
+    asyncio.run(main())
+
+
+def test_bytes_that_are_no_message_do_no_harm(tmp_path: Path) -> None:
+    # Guard against a faulty program at the members' port whose bytes fill the memory.
+    async def main() -> None:
+        async with start_world(tmp_path, servers=0, handle=_serve) as (edge, _):
+            edge.memory_mb = MEMORY_MB
+            await edge.start()
+            await edge.wait_ready()
+            before_mb = edge.peak_memory_mb()
+            for start in (b"", b"\xff\x00\x00\x00\x00\x00\x00\x00\x01\x7f\x03\x00NULL"):
+                _, writer = await edge.connect(edge.addresses.peer_address)
+                writer.write(start)
+                with contextlib.suppress(OSError):
+                    for _ in range(1000):
+                        writer.write(ENDLESS_PART)
+                        await asyncio.wait_for(writer.drain(), 0.5)
+                writer.close()
+            assert edge.running.returncode is None
+            assert edge.peak_memory_mb() < before_mb + 20.0
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize("size", [1, 65_536, 65_537, 200_000, 5_000_000])
 def test_uploads_of_any_size_arrive_whole(size: int, tmp_path: Path) -> None:
     # Guard against bodies that are cut or repeated where they are written in parts.
