Start lasting tasks again after an unforeseen error

Each lasting task of the edge program, and each message of a member, ended the process with the first error that it didn't expect; an odd entry or message would end all members that read it at once. No input that raises such an error was found, so that this is a suspected cause of what the users saw.

Change: such a task is started again after 0.5 s, with a log line that names task and error. A member's message that raises an error is dropped, logged and counted.

--- a/berylchute/background.py
+++ b/berylchute/background.py
@@ -11,7 +11,10 @@
 
 logger = logging.getLogger(__name__)
 
-__all__ = ["BackgroundTasks", "Timer"]
+__all__ = ["BackgroundTasks", "Timer", "run_lasting"]
+
+# Bounds the rate of log lines and of calls of a task that fails each time.
+RESTART_DELAY_S = 0.5
 
 
 class Timer(Protocol):
@@ -52,6 +55,12 @@
         assert self._tasks is not None
         self._tasks.start_soon(function, *arguments)
 
+    def start_lasting(
+        self, function: Callable[..., Coroutine[Any, Any, Any]], *arguments: Any
+    ) -> None:
+        """Start a task that is started again, after a pause, if an exception ends it."""
+        self.start(run_lasting, function, *arguments)
+
     def start_isolated(
         self, function: Callable[..., Coroutine[Any, Any, Any]], *arguments: Any
     ) -> None:
@@ -68,6 +77,19 @@
         return self._loop.call_later(delay_s, function, *arguments)
 
 
+async def run_lasting(function: Callable[..., Coroutine[Any, Any, Any]], *arguments: Any) -> None:
+    """Run a function, and again after each exception, until it returns or is cancelled."""
+    while True:
+        try:
+            await function(*arguments)
+        except Exception:
+            name = getattr(function, "__qualname__", repr(function))
+            logger.exception("task %s failed, starting it again in %g s", name, RESTART_DELAY_S)
+            await anyio.sleep(RESTART_DELAY_S)
+        else:
+            return
+
+
 async def _log_failure(function: Callable[..., Coroutine[Any, Any, Any]], *arguments: Any) -> None:
     try:
         await function(*arguments)
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -223,7 +223,7 @@
         self._log.event("start", version=__version__, callers=self._settings.node.listen.http)
         loop = asyncio.get_running_loop()
         async with anyio.create_task_group() as tasks, self._background_tasks as background_tasks:
-            background_tasks.start(self._flush_forever)
+            background_tasks.start_lasting(self._flush_forever)
             signals.attach(lambda: self._notify_signalled(loop))
             start_scope = anyio.CancelScope()
             tasks.start_soon(self._follow_signals, signals, start_scope)
@@ -249,14 +249,14 @@
     async def _start(self, tasks: TaskGroup, background_tasks: BackgroundTasks) -> None:
         await tasks.start(self._node.run)
         for feed in self._feeds:
-            background_tasks.start(feed.run)
-        background_tasks.start(self._probe.run)
+            background_tasks.start_lasting(feed.run)
+        background_tasks.start_lasting(self._probe.run)
         # The callers' address is the last: a start that is given up has accepted no request.
         for address, server in reversed(self._caller_servers.items()):
             await server.start(address)
-            background_tasks.start(server.close_timed_out_forever)
-        background_tasks.start(self._follow_objects)
-        background_tasks.start(self._report_forever)
+            background_tasks.start_lasting(server.close_timed_out_forever)
+        background_tasks.start_lasting(self._follow_objects)
+        background_tasks.start_lasting(self._report_forever)
 
     async def _follow_signals(
         self, signals: ProcessSignals, start_scope: anyio.CancelScope
--- a/berylchute/node.py
+++ b/berylchute/node.py
@@ -11,6 +11,7 @@
 import attrs
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
+from berylchute.background import run_lasting
 from berylchute.config import Configuration, decode_json
 from berylchute.exceptions import ConfigError, StoreError
 from berylchute.membership import Membership, MembershipTiming
@@ -289,9 +290,9 @@
         """Run all node tasks until cancelled; raise ListenError if the sockets cannot be opened."""
         async with anyio.create_task_group() as group:
             await group.start(self._peers.run)
-            group.start_soon(self._tick_forever)
+            group.start_soon(run_lasting, self._tick_forever)
             if self._store is not None:
-                group.start_soon(self._watch_forever)
+                group.start_soon(run_lasting, self._watch_forever)
             task_status.started()
 
     def _update_record(self, record: MemberRecord) -> None:
--- a/berylchute/peers.py
+++ b/berylchute/peers.py
@@ -216,4 +216,10 @@
             self.counters.dropped_invalid += 1
             _LOG.warning("cannot decode a message from a peer, dropping it: %s", error)
             return
-        self._on_message(message)
+        try:
+            self._on_message(message)
+        except Exception:
+            # A message of a member must never end the members that it reaches.
+            self.counters.dropped_invalid += 1
+            kind = type(message).__name__
+            _LOG.exception("cannot process a %s of a peer, dropping it", kind)
