--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import re
 from random import Random
 
 import pytest
@@ -10,9 +11,10 @@
 from berylchute.exceptions import StoreUnavailable
 from berylchute.node import MonotonicClock
 from berylchute.objects import ObjectReplica
-from berylchute.sharedobjects import ServerList, decode_object
+from berylchute.sharedobjects import ServerEntry, ServerList, decode_object, encode_object
 from berylchute.types import StoredObject
-from berylchute_platform.documents import make_zone_drains
+from berylchute_platform.documents import decode_document, make_zone_drains
+from berylchute_platform.listings import decode_listing
 from berylchute_platform.objects import CONNECTIONS_MAX, PlatformStore
 from berylchute_platform.program import COLLECTIONS
 from tests.storeserver import StoreAnswer, StoreServer, changed, listing, zone
@@ -162,6 +164,21 @@
     "port out of range": json.dumps(_server("odd", address="10.0.0.9:99999")),
     "port zero": json.dumps(_server("odd", address="10.0.0.9:0")),
     "port in other digits": json.dumps(_server("odd", address="10.0.0.9:\u00b2")),
+    "half of a surrogate pair": json.dumps(_server("odd", version="caf\ud83d")),
+    "half of a surrogate pair in the name": json.dumps(_server("caf\ud83d")),
+    "half of a surrogate pair in a field's name": json.dumps(_server("odd", **{"\udc00": 1})),
+    "unknown escape": json.dumps(_server("odd", address="X")).replace('"X"', '"\\x"'),
+    "control character": json.dumps(_server("odd", address="X")).replace("X", "\x01"),
+    "not a number": json.dumps(_server("odd", born=float("nan"))),
+    "infinite": json.dumps(_server("odd", status={"cold-remaining-s": float("inf")})),
+    "leading zeros": json.dumps(_server("odd", born="X")).replace('"X"', "007"),
+    "service of a megabyte": json.dumps(
+        _server("odd", info={"service": "s" * 1_000_000, "zone": "za", "slots": 9})
+    ),
+    "zone of a megabyte": json.dumps(
+        _server("odd", info={"service": "s", "zone": "z" * 1_000_000, "slots": 9})
+    ),
+    "name of a megabyte": json.dumps(_server("odd" * 350_000)),
     "zone index": json.dumps(_server("odd", address="fe80::1%eth0..1:8185")),
     "zone index in brackets": json.dumps(_server("odd", address="[fe80::1%eth0]:8185")),
     "address without brackets": json.dumps(_server("odd", address="::1:80")),
@@ -219,6 +236,15 @@
     assert b"zb" in value
 
 
+def test_next_page_is_read_after_an_unreadable_name() -> None:
+    # Guard against a list that ends, or never ends, at a name that can't be read.
+    names = f'{json.dumps(zone("za"))},{json.dumps(zone("zz" + chr(0xD83D)))}'
+    first = StoreAnswer(f'{{"items":[{names}],"has-more":true,"at-rev":7}}')
+    value, paths = _follow(first, listing(7, [zone("zb")]))
+    assert paths[1] == "/v1/objects/evacuations?after=za"
+    assert value == b'{"availability_zones":["za","zb"]}'
+
+
 def test_drained_zone_with_an_odd_entry_is_drained() -> None:
     # Guard against requests to a zone that the operator drained, whatever else the entry holds.
     body = f'{{"items":[{{"metadata":{{"name":"za"}},"spec":{DEEP}}}],"at-rev":7}}'
@@ -239,3 +265,33 @@
 
     (path,) = asyncio.run(main())
     assert "stale-ok=1" in path
+
+
+ODD_VALUES = [
+    b"null", b"[]", b"{}", b'""', b"-1", b"1e308", b"-1e308", b"1e999", b"9" * 40, b"9" * 5000,
+    b"NaN", b"-Infinity", b"01", b"tru", b'"\\ud83d"', b'"\\udc00\\ud800"', b'"\xff\xfe"', b'"\\x"',
+    b'"\x00"', b'"\\u0000"', b'"' + b"x" * 1_100_000 + b'"', b"[" * 2000 + b"]" * 2000,
+]  # fmt: skip
+FIELDS = ["metadata", "name", "spec", "address", "info", "service", "zone", "slots", "status"]
+FIELDS += ["state", "cold-remaining-s", "born", "version", "seq"]
+
+
+@pytest.mark.parametrize("field", FIELDS)
+def test_no_value_of_a_field_costs_another_entry(field: str) -> None:
+    # Guard against a list that becomes unusable, or too long to be passed on, by one odd value.
+    info = {"service": "s", "zone": "za", "slots": 9, "version": "v1"}
+    status = {"state": "ready", "cold-remaining-s": 0, "seq": 1}
+    spec = {"address": "10.0.0.9:8080", "info": info, "status": status, "born": 5}
+    entry = {"metadata": {"name": "odd"}, "spec": spec, "status": status}
+    text = json.dumps(entry).encode()
+    sound = json.dumps(_server("a")).encode()
+    for value in ODD_VALUES:
+        odd = re.sub(rb'"%s": (\{(?:[^{}]|\{[^{}]*\})*\}|[^,}]+)' % field.encode(), b"@@", text)
+        assert odd != text
+        odd = odd.replace(b"@@", b'"%s": %s' % (field.encode(), value))
+        body = b'{"items":[%s,%s],"has-more":false,"at-rev":7}' % (odd, sound)
+        named = decode_listing(body).objects
+        decoded = [decode_document("servers", item.name, item.document) for item in named]
+        entries = [entry for entry in decoded if isinstance(entry, ServerEntry)]
+        assert any(entry.server_id == "a" for entry in entries), value[:50]
+        assert len(encode_object(ServerList(tuple(entries)))) < 10_000, value[:50]
