Don't take a watch that the store ends for an outage

Cause: a watch without an answer counted as an outage, and the next answer as its end, after which missing entries are kept for 2.2 s.

Evidence: new tests of the feed and of the store's client; the feed's existing test of an outage shows what the same sequence did before.

--- a/berylchute/collection.py
+++ b/berylchute/collection.py
@@ -9,7 +9,7 @@
 import attrs
 
 from berylchute.backoff import Backoff
-from berylchute.exceptions import HistoryGone, StoreError
+from berylchute.exceptions import HistoryGone, StoreError, WatchCut
 from berylchute.sharedobjects import SharedObject, encode_object
 from berylchute.storecontact import ProbedStore
 from berylchute.types import Clock, StoredObject
@@ -74,7 +74,10 @@
         ...
 
     async def watch(self, collection: str, after_revision: int, wait_s: float) -> CollectionChanges:
-        """Wait up to `wait_s` for changes; raise HistoryGone if `after_revision` is too old."""
+        """Wait up to `wait_s` for changes.
+
+        Raises HistoryGone if `after_revision` is too old, WatchCut if the store ended the watch.
+        """
         ...
 
 
@@ -159,6 +162,10 @@
                 )
                 self._is_current = False
                 await anyio.sleep(BURST_PAUSE_S)
+            except WatchCut as error:
+                # No outage: entries that are missing from now on were removed, and did not expire.
+                _LOG.info("watch of %s again: %s", self._collection.name, error)
+                await anyio.sleep(BURST_PAUSE_S)
             except StoreError as error:
                 self.failures += 1
                 self._record_failure(error)
--- a/berylchute/exceptions.py
+++ b/berylchute/exceptions.py
@@ -20,6 +20,7 @@
     "StoreError",
     "StoreOutcomeUnknown",
     "StoreUnavailable",
+    "WatchCut",
 ]
 
 
@@ -73,6 +74,12 @@
         self.current_value = current_value
 
 
+class WatchCut(StoreError):
+    """The store ended a watch that it had accepted; it can be begun again at once."""
+
+    code = "store_watch_cut"
+
+
 class HistoryGone(StoreError):
     """The store no longer has the changes after the requested revision."""
 
--- a/tests/test_collection.py
+++ b/tests/test_collection.py
@@ -15,7 +15,7 @@
     CollectionFeed,
     CollectionListing,
 )
-from berylchute.exceptions import HistoryGone, StoreUnavailable
+from berylchute.exceptions import HistoryGone, StoreUnavailable, WatchCut
 from berylchute.sharedobjects import CallerLimits, RouteTable, ZoneDrains, decode_object
 from berylchute.types import StoredObject
 from berylchute_platform.documents import is_older_table, make_routes
@@ -137,6 +137,19 @@
     assert retained.version < dropped.version
 
 
+@pytest.mark.parametrize("cuts", [1, 5])
+def test_entries_removed_after_a_cut_watch_are_not_retained(cuts: int) -> None:
+    """Guard against requests to servers that left soon after the store ended a waiting watch."""
+    published, store, feed = _run_feed(
+        (0, _listing_of_both(5)),
+        *([(2.0, WatchCut("cut"))] * cuts),
+        (0.5, CollectionChanges({"b": None}, 6)),
+    )
+    assert store.calls == ["read"] + ["watch 5"] * (cuts + 1)
+    assert published[-1].value == b'{"availability_zones":["a"]}'
+    assert feed.is_connected
+
+
 def test_entry_that_was_registered_again_is_not_dropped() -> None:
     """Guard against dropping a server that registered again when the retention time ends."""
     published, _, _ = _run_feed(
--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -8,14 +8,14 @@
 import pytest
 
 from berylchute.collection import Collection, CollectionFeed
-from berylchute.exceptions import StoreUnavailable
+from berylchute.exceptions import StoreUnavailable, WatchCut
 from berylchute.node import MonotonicClock
 from berylchute.objects import ObjectReplica
 from berylchute.sharedobjects import ServerEntry, ServerList, decode_object, encode_object
 from berylchute.types import StoredObject
 from berylchute_platform.documents import decode_document, make_zone_drains
 from berylchute_platform.listings import decode_listing
-from berylchute_platform.objects import CONNECTIONS_MAX, PlatformStore
+from berylchute_platform.objects import CONNECTIONS_MAX, CUT_MIN_S, PlatformStore
 from berylchute_platform.program import COLLECTIONS
 from tests.storeserver import StoreAnswer, StoreServer, changed, listing, zone
 
@@ -295,3 +295,26 @@
         entries = [entry for entry in decoded if isinstance(entry, ServerEntry)]
         assert any(entry.server_id == "a" for entry in entries), value[:50]
         assert len(encode_object(ServerList(tuple(entries)))) < 10_000, value[:50]
+
+
+def test_watch_that_the_store_ends_is_no_outage() -> None:
+    # Guard against a cut watch that counts as an outage, after which removed servers are kept, and
+    # against an outage that counts as a cut watch.
+    async def main() -> None:
+        delays_s = [CUT_MIN_S + 0.1, 0.0]
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(delays_s.pop(0))
+            writer.transport.abort()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        store = PlatformStore(f"{host}:{port}", MonotonicClock())
+        with pytest.raises(WatchCut):
+            await store.watch("servers", 5, 4.0)
+        with pytest.raises(StoreUnavailable):
+            await store.watch("servers", 5, 4.0)
+        server.close()
+
+    asyncio.run(main())
