Reset connections whose request is given up

Cause: an aborted connection was closed, not reset, so that bytes waiting in the kernel were still delivered.

Change: SO_LINGER of 0 s before a connection with a request in flight is aborted.

The new test failed before.

--- a/berylchute/upstream.py
+++ b/berylchute/upstream.py
@@ -4,6 +4,7 @@
 import logging
 import select
 import socket
+import struct
 from collections.abc import Callable
 from typing import cast
 
@@ -37,6 +38,9 @@
 # Longer bodies are written in parts of this size.
 WRITTEN_BYTES_MAX = 65_536
 
+# Value of SO_LINGER: on, for 0 s.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 
 class _Connection(asyncio.Protocol):
     """One connection; it carries one exchange at a time."""
@@ -128,10 +132,14 @@
         return not self._poll.poll(0)
 
     def abort(self) -> None:
-        """Close the connection without sending buffered bytes."""
+        """Close the connection; bytes of a request in flight that wait here are not delivered."""
         self.is_usable = False
-        if self._transport is not None:
-            self._transport.abort()
+        if self._transport is None:
+            return
+        if self._request is not None and not self._transport.is_closing():
+            raw = self._transport.get_extra_info("socket")
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self._transport.abort()
 
     # asyncio.Protocol
 
@@ -283,8 +291,7 @@
         self._body_memory.release(self, BodyStage.RECEIVING_ANSWER)
         if self._answer is not None and not self._answer.done():
             self._answer.set_exception(error)
-        if self._transport is not None:
-            self._transport.abort()
+        self.abort()
 
 
 def _parse_idle_timeout_s(keep_alive: bytes) -> float:
--- a/tests/httpfakes.py
+++ b/tests/httpfakes.py
@@ -18,7 +18,7 @@
     def fileno(self) -> int:
         return 0
 
-    def setsockopt(self, *options: int) -> None:
+    def setsockopt(self, *options: object) -> None:
         """Ignore the options."""
 
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -428,3 +428,32 @@
         assert called == ["fd00::1"]
 
     asyncio.run(main())
+
+
+def test_request_that_is_given_up_is_not_delivered_later() -> None:
+    """Guard against a request that runs after its caller was answered: bytes that wait in the
+    kernel, for a slow server or a link that is cut, are delivered unless the connection is reset.
+    """
+
+    async def main() -> None:
+        accepted: asyncio.Queue[asyncio.StreamReader] = asyncio.Queue()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await accepted.put(reader)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=1024)
+        host, port = server.sockets[0].getsockname()[:2]
+        pool = ConnectionPool(f"{host}:{port}", ManualClock(), 2)
+        request = attrs.evolve(REQUEST, body=bytes(20_000_000))
+        exchange = asyncio.create_task(pool.exchange(request))
+        reader = await accepted.get()
+        await asyncio.sleep(0.2)
+        exchange.cancel()
+        await asyncio.gather(exchange, return_exceptions=True)
+        await asyncio.sleep(0.1)
+        with pytest.raises(ConnectionResetError):
+            while await reader.read(65_536):
+                pass
+        server.close()
+
+    asyncio.run(main())
