--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -3,11 +3,10 @@
 import asyncio
 import logging
 from collections import Counter
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 
 import anyio
-import attrs
 from anyio.abc import TaskGroup
 
 from berylchute import __version__
@@ -20,9 +19,9 @@
 from berylchute.directory import Directory
 from berylchute.discovery import MemberDiscovery
 from berylchute.edgemetrics import EdgeMetrics, EdgeState
+from berylchute.edgesettings import EdgeSettings
 from berylchute.eventlog import EventLog
-from berylchute.exceptions import ConfigError, ListenError, SettingsError
-from berylchute.headernames import HeaderNames
+from berylchute.exceptions import ConfigError, ListenError, SettingsError, first_error
 from berylchute.membership import MembershipTiming
 from berylchute.node import BootClock, Node
 from berylchute.processsignals import ProcessSignals
@@ -33,11 +32,10 @@
 from berylchute.selection import Selector
 from berylchute.serverlimits import ServerLimits
 from berylchute.servers import Server
-from berylchute.settings import Settings
 from berylchute.sharedobjects import SHARED_KEYS, RouteTable, ServerList, ZoneDrains, decode_object
 from berylchute.spillshare import SpillLimiter
 from berylchute.stoptimes import StopTimes
-from berylchute.storecontact import CHANGE_APPLY_DEFAULT_S, StoreContact, StoreProbe
+from berylchute.storecontact import StoreContact, StoreProbe
 from berylchute.types import MemberStatus, StoredObject
 
 __all__ = ["Edge", "EdgeSettings"]
@@ -65,24 +63,6 @@
 logger = logging.getLogger(__name__)
 
 
-@attrs.frozen
-class EdgeSettings:
-    """All settings of the edge program.
-
-    `zone_regions` maps availability zones to regions. `grace_s` is the time from the stop signal
-    to the kill, `change_apply_s` the time from the store's acknowledgement of a change until all
-    members must follow it. `metrics_address` is `ip:port`; metrics are not served if it is empty.
-    """
-
-    node: Settings
-    zone_regions: Mapping[str, str]
-    retry_bounds: RetryBounds
-    grace_s: float
-    metrics_address: str = ""
-    header_names: HeaderNames = HeaderNames()
-    change_apply_s: float = CHANGE_APPLY_DEFAULT_S
-
-
 class Edge:
     """The edge program: composes its parts and runs their tasks."""
 
@@ -241,7 +221,7 @@
         self._log.event("stop", in_flight=self._handler.in_flight)
         self._log.flush()
         if listen_error is not None:
-            raise _first_error(listen_error)
+            raise first_error(listen_error)
 
     def _notify_signalled(self, loop: asyncio.AbstractEventLoop) -> None:
         loop.call_soon_threadsafe(lambda: self._signalled.set())
@@ -443,9 +423,3 @@
             log_lines_dropped_rate=self._log.lines_dropped_over_rate,
             log_lines_dropped_unwritable=self._log.lines_dropped_unwritable,
         )
-
-
-def _first_error(error: BaseException) -> BaseException:
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    return error
--- /dev/null
+++ b/berylchute/edgesettings.py
@@ -0,0 +1,30 @@
+"""Define the settings of the edge program."""
+
+from collections.abc import Mapping
+
+import attrs
+
+from berylchute.headernames import HeaderNames
+from berylchute.retrybudget import RetryBounds
+from berylchute.settings import Settings
+from berylchute.storecontact import CHANGE_APPLY_DEFAULT_S
+
+__all__ = ["EdgeSettings"]
+
+
+@attrs.frozen
+class EdgeSettings:
+    """All settings of the edge program.
+
+    `zone_regions` maps availability zones to regions. `grace_s` is the time from the stop signal
+    to the kill, `change_apply_s` the time from the store's acknowledgement of a change until all
+    members must follow it. `metrics_address` is `ip:port`; metrics are not served if it is empty.
+    """
+
+    node: Settings
+    zone_regions: Mapping[str, str]
+    retry_bounds: RetryBounds
+    grace_s: float
+    metrics_address: str = ""
+    header_names: HeaderNames = HeaderNames()
+    change_apply_s: float = CHANGE_APPLY_DEFAULT_S
--- a/berylchute/exceptions.py
+++ b/berylchute/exceptions.py
@@ -21,6 +21,7 @@
     "StoreOutcomeUnknown",
     "StoreUnavailable",
     "WatchCut",
+    "first_error",
 ]
 
 
@@ -138,3 +139,10 @@
     """An operator command failed."""
 
     code = "command_failed"
+
+
+def first_error(error: BaseException) -> BaseException:
+    """Return the first error in a group of any depth, or the error itself."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -9,12 +9,12 @@
 
 from berylchute.bodymemory import BodyMemory
 from berylchute.exceptions import AnswerInvalid, AnswerLost, ExchangeError, NotSent
+from berylchute.serverconnection import ServerConnection
 from berylchute.upstream import (
     SPARE_RETRY_DELAY_S,
     ConnectionPool,
     ServerAnswer,
     UpstreamRequest,
-    _Connection,
 )
 from tests.httpfakes import FakeTransport, ManualClock
 
@@ -31,7 +31,7 @@
 
     def __init__(self) -> None:
         self.transport = FakeTransport()
-        self.connection = _Connection(ManualClock(), lambda _: None, BodyMemory())
+        self.connection = ServerConnection(ManualClock(), lambda _: None, BodyMemory())
         self.connection.connection_made(self.transport)
 
     def run(self, deliver: Callable[[], None], request: UpstreamRequest = REQUEST) -> ServerAnswer:
