Play store cuts by edge, early signals and taken ports in the soak

Each edge reaches the store over a link of its own; in turn all but one at most are cut off, a configuration follows 0.2 s later, and the others must follow it in time. Starts get signals as soon as the process catches them, or find a port taken for 0.8 s. A process that ends by itself, or whose planned stop has another exit code than 0, is a violation. Other faults of a seed keep their order.

--- a/soak/records.py
+++ b/soak/records.py
@@ -82,7 +82,8 @@
     """All records of one seed; encoded as `records.json`.
 
     `drains` maps a server's name to the time at which its drain began; `routes` lists the time and
-    the target service of each configuration.
+    the target service of each configuration. `own_ends` describes the processes that ended by
+    themselves, or in a planned stop with another exit code than 0.
     """
 
     requests: list[Request] = attrs.Factory(list)
@@ -91,6 +92,7 @@
     drains: dict[str, float] = attrs.Factory(dict)
     routes: list[tuple[float, str]] = attrs.Factory(list)
     limits: list[StatedLimit] = attrs.Factory(list)
+    own_ends: list[str] = attrs.Factory(list)
 
     def has_no_unplanned_fault(self, start_s: float, end_s: float, scopes: Iterable[str]) -> bool:
         """Return whether no unplanned fault on the scopes could affect `start_s` to `end_s`.
@@ -120,6 +122,7 @@
     ]
     for request in records.requests:
         violations += _check_request(records, request, runs.get(request.request_id, []))
+    violations += [f"ended: {end}" for end in records.own_ends]
     violations += _check_drains(records)
     for limit in records.limits:
         violations += _check_limit(records, limit)
--- a/soak/world.py
+++ b/soak/world.py
@@ -1,6 +1,7 @@
 """Start edges, servers, store and proxies, and inject a seeded schedule of faults into them."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import sys
@@ -35,11 +36,23 @@
 RESTORE_AGES_S = (0.0, 9.0)
 
 
+# Part of the starts of an edge that get signals before they are done, or find a port taken.
+EARLY_SIGNAL_RATIO = 0.3
+TAKEN_PORT_RATIO = 0.3
+TAKEN_PORT_S = 0.8
+HANDLER_WAIT_S = 5.0
+# Edges are cut off from the store in turn, all but one at a time; a configuration follows at once.
+STORE_CUT_PAUSES_S = (1.0, 3.0)
+STORE_CUTS_S = (1.0, 4.0)
+CHANGE_DELAY_S = 0.2
+
+
 @attrs.define(eq=False)
 class _Edge:
     name: str
     zone: str
     addresses: wire.EdgeAddresses
+    store_proxy: Proxy
     process: asyncio.subprocess.Process | None = None
     starting: asyncio.Lock = attrs.Factory(asyncio.Lock)
     faults: OverlappingFaults[str] = attrs.Factory(OverlappingFaults)
@@ -68,14 +81,23 @@
         self._rng = Random(seed)
         self._limits_rng = Random(seed)  # keeps the other faults of a seed as they were
         self._restores_rng = Random(seed)
+        self._starts_rng = Random(seed)
+        self._store_cuts_rng = Random(seed)
         self._out_dir = out_dir
-        ports = iter(free_ports(2 + 6 * edges + 2 * servers * 4))
+        ports = iter(free_ports(2 + 7 * edges + 2 * servers * 4))
         self._store_port, self._store_proxy_port = next(ports), next(ports)
         self._store = StoreStandIn(self._store_port)
         self._store_proxy = Proxy(self._store_proxy_port, self._store_port)
         self._edges = [
-            _Edge(f"edge-{n}", ZONES[n % 2], _assign_addresses(ports)) for n in range(edges)
+            _Edge(
+                f"edge-{n}",
+                ZONES[n % 2],
+                _assign_addresses(ports),
+                Proxy(next(ports), self._store_proxy_port),
+            )
+            for n in range(edges)
         ]
+        self._expected_ends: set[asyncio.subprocess.Process] = set()
         self._ports = ports
         self._servers: dict[str, ServerStandIn] = {}
         self._proxies: dict[str, Proxy] = {}
@@ -93,15 +115,22 @@
         await self._change_routes()
         try:
             for edge in self._edges:
+                await edge.store_proxy.start()
                 await self._replace_process(edge, None)
             await asyncio.sleep(STARTUP_WAIT_S)
             end_s = time.monotonic() + seconds
             await asyncio.gather(
-                *self._make_callers(end_s), self._inject_faults(end_s - 2.0), self._limit(end_s)
+                *self._make_callers(end_s),
+                self._inject_faults(end_s - 2.0),
+                self._limit(end_s),
+                self._cut_store_links(end_s - 2.0),
             )
         finally:
+            self._record_own_ends()
             await asyncio.gather(*(_kill_process(process) for process in self._processes))
             self._store_proxy.close()
+            for edge in self._edges:
+                edge.store_proxy.close()
             for descriptor in self._unread_pipe_fds:
                 os.close(descriptor)
 
@@ -152,14 +181,36 @@
         """Start an edge again unless an overlapping fault has already replaced `ended_process`."""
         async with edge.starting:
             if edge.process is ended_process:
-                await self._start_edge(edge)
+                await self._disturb_start(edge)
                 assert edge.process is not None
                 self._processes.append(edge.process)
 
+    def _record_own_ends(self) -> None:
+        for process in self._processes:
+            if process.returncode is not None and process not in self._expected_ends:
+                self.records.own_ends.append(
+                    f"process {process.pid} by itself with {process.returncode}"
+                )
+
+    async def _disturb_start(self, edge: _Edge) -> None:
+        """Hold a port of an edge for a moment, or signal its process while it starts."""
+        has_taken_port = self._starts_rng.random() < TAKEN_PORT_RATIO
+        has_signals = self._starts_rng.random() < EARLY_SIGNAL_RATIO
+        if has_taken_port:
+            host, _, port = edge.addresses.readiness_address.rpartition(":")
+            holder = await asyncio.start_server(lambda _, writer: writer.close(), host, int(port))
+            asyncio.get_running_loop().call_later(TAKEN_PORT_S, holder.close)
+        await self._start_edge(edge)
+        assert edge.process is not None
+        if has_signals and await _has_handler(edge.process.pid, signal.SIGHUP):
+            for _ in range(3):
+                self._signal(edge, signal.SIGHUP)
+                await asyncio.sleep(0.05)
+
     async def _start_edge(self, edge: _Edge) -> None:
         settings = self._out_dir / f"{edge.name}.conf"
         seeds = [other.addresses.peer_address for other in self._edges[:3]]
-        store_address = f"127.0.0.1:{self._store_proxy_port}"
+        store_address = f"127.0.0.1:{edge.store_proxy.port}"
         settings.write_text(
             wire.settings_text(
                 edge.name, edge.zone, edge.addresses, seeds, store_address, STOP_GRACE_S
@@ -196,10 +247,13 @@
         process = edge.process
         if process is None or not self._signal(edge, signal.SIGTERM):
             return
+        self._expected_ends.add(process)
         self._record_fault(edge.name, "stop", STOP_GRACE_S, is_planned=True)
         try:
             async with asyncio.timeout(STOP_GRACE_S):
-                await process.wait()
+                code = await process.wait()
+            if code not in (0, -signal.SIGKILL):
+                self.records.own_ends.append(f"{edge.name} in a stop with {code}")
         except TimeoutError:
             self._record_fault(edge.name, "stop took too long", 1.0)
             await _kill_process(process)
@@ -210,6 +264,7 @@
         process = edge.process
         if process is None or not self._signal(edge, signal.SIGKILL):
             return
+        self._expected_ends.add(process)
         self._record_fault(edge.name, "kill", 1.0)
         await process.wait()
         await asyncio.sleep(0.3)
@@ -242,6 +297,23 @@
         if kind == "restore":
             await self._store.restore(self._restores_rng.uniform(*RESTORE_AGES_S))
 
+    async def _cut_store_links(self, until_s: float) -> None:
+        """Cut edges off from the store, and change the routes while they can't hear of it."""
+        while time.monotonic() < until_s:
+            await asyncio.sleep(self._store_cuts_rng.uniform(*STORE_CUT_PAUSES_S))
+            count = self._store_cuts_rng.randint(1, len(self._edges) - 1)
+            cut_s = self._store_cuts_rng.uniform(*STORE_CUTS_S)
+            with contextlib.ExitStack() as cuts:
+                for edge in self._store_cuts_rng.sample(self._edges, count):
+                    self._record_fault(edge.name, "store link", cut_s)
+                    cuts.enter_context(edge.store_proxy.faults.inject(LinkFault.SILENCE))
+                await asyncio.sleep(CHANGE_DELAY_S)
+                await self._change_routes()
+                await asyncio.sleep(cut_s - CHANGE_DELAY_S)
+            for edge in self._edges:
+                if LinkFault.SILENCE not in edge.store_proxy.faults:
+                    edge.store_proxy.reset_all()
+
     async def _inject_link_fault(self) -> None:
         name = self._rng.choice(sorted(self._proxies))
         proxy = self._proxies[name]
@@ -361,6 +433,20 @@
     )
 
 
+async def _has_handler(pid: int, number: signal.Signals) -> bool:
+    """Return true once a process catches a signal, false if it doesn't in time."""
+    for _ in range(int(HANDLER_WAIT_S / 0.01)):
+        try:
+            status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+        except OSError:
+            return False
+        caught = next(line for line in status.splitlines() if line.startswith("SigCgt:"))
+        if int(caught.split()[1], 16) & (1 << (number - 1)):
+            return True
+        await asyncio.sleep(0.01)
+    return False
+
+
 async def _kill_process(process: asyncio.subprocess.Process) -> None:
     """Kill a process and wait for its end, unless it has already ended."""
     if process.returncode is None:
