Refuse a body whose declared length is above the limit before it is received

A body above max-body-bytes was refused as one without room (503, come back) since the bound of memory came first; it is 413 again, now at the headers. Two new cases failed before. An answer for a connection that is being closed is no longer counted in memory; no test of its own, as nothing was seen to lead there. Both found by reading the change.

--- a/berylchute/callerconnection.py
+++ b/berylchute/callerconnection.py
@@ -149,15 +149,16 @@
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_headers_complete(self) -> None:
-        """Refuse a request with headers above the size limit."""
+        """Refuse a request whose headers, or the length that they declare, are above a limit."""
         self._is_reading_head = False
-        length = _find_content_length(self._headers)
-        if not self._server.body_memory.may_receive(length):
-            self.drop_body(f"no room for {length} bytes")
-            return
         size_bytes = len(self._url) + sum(len(n) + len(v) + 4 for n, v in self._headers)
+        length = _find_content_length(self._headers)
         if size_bytes > self._server.limits.header_bytes_max:
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        elif length > self._server.limits.body_bytes_max:
+            self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        elif not self._server.body_memory.may_receive(length):
+            self.drop_body(f"no room for {length} bytes")
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body; refuse a request with a body above the size limit."""
@@ -227,7 +228,8 @@
         """Send an answer once all earlier requests of the connection are answered."""
         body_memory = self._server.body_memory
         body_memory.release(pending, BodyStage.IN_FLIGHT_REQUEST)
-        if pending.answer is not None and pending.answer.body and not self.is_closed:
+        is_open = not self.is_closed and not self._is_lingering
+        if pending.answer is not None and pending.answer.body and is_open:
             body_memory.hold(pending, BodyStage.SENDING_ANSWER, len(pending.answer.body))
         self._flush()
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -271,3 +271,10 @@
     caller.connection.pause_writing()
     caller.connection.close_if_timed_out(caller.clock.now + 5.1)
     assert caller.transport.is_aborted
+
+
+def test_declared_length_above_the_limit_is_refused_before_the_body() -> None:
+    """Guard against a caller that sends a whole body in vain, or asks again with it."""
+    caller = _Caller(CallerLimits(body_bytes_max=10))
+    caller.send(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n")
+    assert caller.transport.written.startswith(b"HTTP/1.1 413 ")
--- a/tests/test_processstop.py
+++ b/tests/test_processstop.py
@@ -71,19 +71,21 @@
     asyncio.run(main())
 
 
-def test_refused_upload_gets_its_answer(tmp_path: Path) -> None:
+@pytest.mark.parametrize("length, status", [(90_000_000, 413), (66_000_000, 503)])
+def test_refused_upload_gets_its_answer(length: int, status: int, tmp_path: Path) -> None:
     # Guard against a reset in place of a refusal for a caller that is still sending a body.
     async def main() -> None:
         async with start_world(tmp_path, servers=0, handle=_serve) as (edge, _):
+            edge.memory_mb = 200.0  # has no room for 66 MB
             await edge.start()
             await edge.wait_ready()
             reader, writer = await edge.connect()
             head = _request(1).replace(b"GET /read", b"POST /post")
-            writer.write(head[:-2] + b"Content-Length: 90000000\r\n\r\n")
-            for _ in range(300):
+            writer.write(head[:-2] + b"Content-Length: %d\r\n\r\n" % length)
+            for _ in range(length // 300_000):
                 writer.write(bytes(300_000))
                 await writer.drain()
-            assert (await reader.readline()).startswith(b"HTTP/1.1 503")
+            assert (await reader.readline()).startswith(b"HTTP/1.1 %d" % status)
             assert b"connection: close" in (await reader.read()).lower()
             writer.close()
 
