Close a connection that its caller has just reset without an error

To end the sending side of a socket that was reset raises OSError. Found by reading the change; the new test failed before.

--- a/berylchute/callerconnection.py
+++ b/berylchute/callerconnection.py
@@ -370,7 +370,11 @@
             return
         if self._is_paused:
             self._transport.resume_reading()
-        self._transport.write_eof()
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # The caller has reset the connection, and the event loop has not seen it yet.
+            self._transport.abort()
 
     def _end_lingering(self) -> None:
         if self.transport.get_write_buffer_size():
--- a/tests/httpfakes.py
+++ b/tests/httpfakes.py
@@ -1,6 +1,7 @@
 """A fake transport and a manual clock for tests of the HTTP server and client."""
 
 import asyncio
+import errno
 from typing import Any
 
 
@@ -33,7 +34,7 @@
         self.written = b""
         self.unsent = 0
         self.is_closed = self.is_gone = False
-        self.is_aborted = False
+        self.is_aborted = self.is_reset = False
         self.is_paused = False
 
     def write(self, data: Any) -> None:
@@ -52,6 +53,8 @@
         self.is_closed = self.is_gone = True
 
     def write_eof(self) -> None:
+        if self.is_reset:
+            raise OSError(errno.ENOTCONN, "not connected")
         self.is_closed = True
 
     def abort(self) -> None:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -278,3 +278,11 @@
     caller = _Caller(CallerLimits(body_bytes_max=10))
     caller.send(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n")
     assert caller.transport.written.startswith(b"HTTP/1.1 413 ")
+
+
+def test_stop_closes_a_connection_that_its_caller_has_just_reset() -> None:
+    """Guard against a stop that ends with an error, and with it the requests of other callers."""
+    caller = _Caller()
+    caller.transport.is_reset = True
+    caller.connection.close_if_idle()
+    assert caller.transport.is_gone
