--- a/berylchute/bodymemory.py
+++ b/berylchute/bodymemory.py
@@ -73,12 +73,6 @@
         if self.held_bytes > self.bytes_max or self.request_bytes > self.request_bytes_max:
             self._reduce()
 
-    def move(self, holder: BodyHolder, stage: BodyStage, to_stage: BodyStage) -> None:
-        """Change the stage of a holder's bytes."""
-        size_bytes = self.release(holder, stage)
-        if size_bytes:
-            self.hold(holder, to_stage, size_bytes)
-
     def release(self, holder: BodyHolder, stage: BodyStage) -> int:
         """Subtract the bytes of a holder in a stage and return their number."""
         size_bytes = self._held[stage].pop(holder, 0)
--- a/tests/test_bodymemory.py
+++ b/tests/test_bodymemory.py
@@ -48,7 +48,7 @@
     memory = BodyMemory(100.0)
     uploads = [_fill(memory, RECEIVING, 8_000_000) for _ in range(3)]
     for upload in uploads:
-        memory.move(upload, RECEIVING, IN_FLIGHT)
+        memory.hold(upload, IN_FLIGHT, memory.release(upload, RECEIVING))
     _fill(memory, RECEIVING, 2 * memory.bytes_max)
     _fill(memory, ANSWER, 2 * memory.bytes_max)
     assert not any(upload.reason for upload in uploads)
