--- a/tests/edgeprocess.py
+++ b/tests/edgeprocess.py
@@ -78,6 +78,12 @@
                 assert self.running.returncode is None, self.log.read_text()
                 await asyncio.sleep(0.05)
 
+    async def wait_log(self, text: str) -> None:
+        """Return once a text is in the log, which is written at intervals."""
+        async with asyncio.timeout(WAIT_S):
+            while text not in self.log.read_text():
+                await asyncio.sleep(0.05)
+
     async def _get_ready(self) -> bytes:
         try:
             reader, writer = await self.connect(self.addresses.readiness_address)
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -38,10 +38,11 @@
             address = _addresses(edge)[listener]
             taken = _take(address)
             await edge.start()
+            await edge.wait_log(f"cannot listen on {address}")
             await asyncio.sleep(1.5)
             taken.close()
             await edge.wait_ready()
-            await asyncio.sleep(0.5)  # the log is written at intervals
+            await edge.wait_log(f"listening on {address} after all")
             log = edge.log.read_text()
             assert log.count(f"cannot listen on {address}") == 1, log
             assert log.count(f"listening on {address} after all") == 1, log
@@ -72,9 +73,7 @@
         async with start_world(tmp_path) as (edge, _):
             with _take(_addresses(edge)["callers"]):
                 await edge.start()
-                async with asyncio.timeout(10.0):
-                    while "cannot listen" not in edge.log.read_text():
-                        await asyncio.sleep(0.05)
+                await edge.wait_log("cannot listen")
                 edge.running.send_signal(signal.SIGTERM)
                 async with asyncio.timeout(2.0):
                     assert await edge.running.wait() == 0
