--- a/tests/test_processmemory.py
+++ b/tests/test_processmemory.py
@@ -167,10 +167,10 @@
 ENDLESS_PART = b"x" * 65_536
 ENDLESS_STARTS = {
     "head": b"HTTP/1.1 200 OK\r\nX: ",
-    "body to the end": b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n",
-    "body with a length": b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 45000000\r\n\r\n",
-    "after an answer": b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 2\r\n\r\nok",
-    "no answer": b"",
+    "body-to-the-end": b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n",
+    "body-with-a-length": b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 45000000\r\n\r\n",
+    "after-an-answer": b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 2\r\n\r\nok",
+    "no-answer": b"",
 }
 
 
