--- a/berylchute/storecontact.py
+++ b/berylchute/storecontact.py
@@ -24,7 +24,7 @@
     """The time of the store's last answer to this process, and to any member that reported one.
 
     Members that don't watch the store rely on those that do. A watch on a link that is cut looks
-    like one without changes, so an age is told, not a yes or no that holds until withdrawn.
+    like one without changes, so members report ages; a flag would hold until withdrawn.
     """
 
     def __init__(self, clock: Clock, change_apply_s: float) -> None:
