Identify organisations by API key at the edge program

Cause: the configuration may name organisations with API keys. The edge program ignored them, forwarded the caller's Authorization to servers and knew neither organisation nor effective priority of a request.

Change: `tenants` and `public` are decoded to RouteTable.organisations (digests of keys only) and Route.is_public. RouteIndex holds a directory of the keys for each configuration. Requests are identified on arrival, and again before each send if the configuration has changed since, also after a connection was opened for them (SendWithdrawn, which is no failure of the server). ActiveRequest has organisation, priority and home_regions. A SendPermits implementation may refuse a request with 429 before its first send.

--- a/berylchute/attempts.py
+++ b/berylchute/attempts.py
@@ -1,16 +1,18 @@
 """Track a request and its attempts while it is in flight, and encode it for a server."""
 
 import math
+from collections.abc import Callable, Collection, Sequence
 from enum import StrEnum
 
 import attrs
 
-from berylchute.callermessages import CallerRequest, PendingRequest
-from berylchute.exceptions import NotSent
+from berylchute.callermessages import CallerRequest, Header, PendingRequest
+from berylchute.exceptions import NotSent, SendWithdrawn
 from berylchute.headernames import HeaderNames
+from berylchute.organisations import Identity, combine_home_regions
 from berylchute.selection import Selection
 from berylchute.servers import Server
-from berylchute.sharedobjects import Route
+from berylchute.sharedobjects import Organisation, Route
 from berylchute.upstream import ServerAnswer, UpstreamRequest
 
 __all__ = ["ActiveRequest", "Attempt", "Outcome", "encode_request", "round_ms", "start_attempt"]
@@ -29,6 +31,8 @@
     CALLER_LEFT = "caller_left"
     INTERNAL_ERROR = "internal_error"
     NO_MEMORY = "no_memory"
+    UNAUTHORIZED = "unauthorized"
+    OVER_ALLOTMENT = "over_allotment"
 
 
 @attrs.define(eq=False)
@@ -50,6 +54,11 @@
     result: str = "no_answer"
     server_ms: float = 0.0
 
+    @property
+    def was_sent(self) -> bool:
+        """Return whether a byte of the request was sent to the server."""
+        return self.result not in (NotSent.code, SendWithdrawn.code)
+
 
 @attrs.define(eq=False)
 class ActiveRequest:
@@ -59,6 +68,11 @@
     refused before. `may_have_run` means that a server may have processed the request, so it must
     not be refused as not run. `failed_answer` is the server error that caused a retry.
     `retry_cause` is the cause of the next attempt, empty before the first failed one.
+    `organisation` is the one whose key the request has, `priority` its effective rank, 0 the most
+    urgent. `home_regions` are those of servers that may run it, None for all; no server may run it
+    if they are empty. `headers` are sent to servers. `identity` is None if the configuration had no
+    organisations when the request arrived. `has_permit` is true once its organisation's allotment
+    has let it pass.
     """
 
     pending: PendingRequest
@@ -75,20 +89,48 @@
     retry_cause: str = ""
     may_have_run: bool = False
     failed_answer: ServerAnswer | None = None
+    has_permit: bool = False
+    identity: Identity | None = attrs.field(default=None, init=False)
+    organisation: Organisation | None = attrs.field(default=None, init=False)
+    priority: int = attrs.field(init=False)
+    home_regions: Collection[str] | None = attrs.field(init=False)
+    headers: Sequence[Header] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Set what holds for a request without an organisation."""
+        self.priority = self.route.priority
+        self.home_regions = self.route.home_regions or None
+        self.headers = self.request.headers
+
+    def apply_identity(self, identity: Identity) -> None:
+        """Set the organisation of the request and what follows from it."""
+        organisation = identity.organisation
+        self.identity = identity
+        self.organisation = organisation
+        self.headers = identity.headers
+        self.priority = self.route.priority
+        if organisation is not None and organisation.priority is not None:
+            self.priority = organisation.priority
+        self.home_regions = combine_home_regions(self.route, organisation)
 
     @property
     def tried_ids(self) -> list[str]:
         """Return the ids of the servers that were tried, including unreachable ones."""
-        return [attempt.server for attempt in self.attempts]
+        return [a.server for a in self.attempts if a.result != SendWithdrawn.code]
 
     @property
     def was_never_sent(self) -> bool:
         """Return whether no attempt sent a byte to a server."""
-        return all(attempt.result == NotSent.code for attempt in self.attempts)
+        return not any(attempt.was_sent for attempt in self.attempts)
 
 
 def encode_request(
-    header_names: HeaderNames, active: ActiveRequest, server_id: str, now_s: float
+    header_names: HeaderNames,
+    active: ActiveRequest,
+    server_id: str,
+    now_s: float,
+    *,
+    may_send: Callable[[], bool] | None = None,
 ) -> UpstreamRequest:
     """Encode a request for a server.
 
@@ -98,7 +140,7 @@
     request = active.request
     remaining_ms = max(1, int((active.deadline_s - now_s) * 1000.0))
     lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
-    lines += [b"%s: %s" % header for header in request.headers]
+    lines += [b"%s: %s" % header for header in active.headers]
     lines.append(b"%s: %d" % (header_names.deadline_ms.title(), remaining_ms))
     lines.append(b"%s: %s" % (header_names.expected_server.title(), server_id.encode("latin-1")))
     if request.body or request.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
@@ -110,6 +152,7 @@
         head=b"\r\n".join(lines) + b"\r\n\r\n",
         body=request.body,
         needs_new_connection=not request.request_id,
+        may_send=may_send,
     )
 
 
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -268,7 +268,13 @@
             if newer:
                 self._backends.configure(value)
                 self._caller_server.limits = value.limits
-            self._log.event("routes", number=value.number, version=stored.version, newer=newer)
+            self._log.event(
+                "routes",
+                number=value.number,
+                version=stored.version,
+                newer=newer,
+                organisations=len(value.organisations),
+            )
         elif isinstance(value, ServerList):
             self._backends.update_servers(value)
             self._log.event("servers", count=len(value.entries), version=stored.version)
--- a/berylchute/exceptions.py
+++ b/berylchute/exceptions.py
@@ -15,6 +15,7 @@
     "NotSent",
     "PeerError",
     "RoutingError",
+    "SendWithdrawn",
     "SettingsError",
     "StoreConflict",
     "StoreError",
@@ -117,6 +118,12 @@
     code = "not_sent"
 
 
+class SendWithdrawn(NotSent):
+    """The configuration changed before a byte was sent; the server has not failed."""
+
+    code = "send_withdrawn"
+
+
 class AnswerLost(ExchangeError):
     """The request was sent and no complete answer arrived; it may have run."""
 
--- a/berylchute/headernames.py
+++ b/berylchute/headernames.py
@@ -13,7 +13,8 @@
     requests and of slots, and optionally the pace: the work time in percent of the usual one. They
     are separated by commas. `server_limit` is the number of requests per second that a server
     accepts from all members together while it sends the header. `server_leaving` is 1 in the
-    answers of a server that accepts no new requests since it leaves.
+    answers of a server that accepts no new requests since it leaves. `organisation` is the name of
+    the organisation whose key a request has, for servers; what a caller sends in it is dropped.
     """
 
     request_id: bytes = b"berylchute-request-id"
@@ -24,3 +25,4 @@
     server_leaving: bytes = b"berylchute-leaving"
     not_run: bytes = b"berylchute-not-run"
     affinity_cookie: bytes = b"berylchute-affinity"
+    organisation: bytes = b"berylchute-organisation"
--- a/berylchute/requesthandler.py
+++ b/berylchute/requesthandler.py
@@ -1,11 +1,9 @@
 """Route a caller's request: select a backend server, send, retry or refuse."""
 
-import logging
 from collections.abc import Callable
 from random import Random
 
 import anyio
-import attrs
 
 from berylchute.attempts import (
     ActiveRequest,
@@ -16,18 +14,21 @@
 )
 from berylchute.backends import Backends
 from berylchute.background import BackgroundTasks
-from berylchute.callers import CallerAnswer, PendingRequest
+from berylchute.callers import CallerAnswer, CallerRequest, PendingRequest
 from berylchute.discovery import MemberDiscovery
 from berylchute.edgemetrics import EdgeMetrics
 from berylchute.eventlog import EventLog
-from berylchute.exceptions import AnswerDropped, ExchangeError, NotSent
+from berylchute.exceptions import AnswerDropped, ExchangeError, NotSent, SendWithdrawn
 from berylchute.headernames import HeaderNames
+from berylchute.organisations import Identity, UnauthorizedReason, identify_request
 from berylchute.regionsends import RegionSends
-from berylchute.retryafter import STARTING_RETRY_AFTER_S, choose_delay_s, make_retry_after
-from berylchute.retrybudget import RetryBounds, RetryBudget
+from berylchute.requestends import TIME_LEFT_DEFAULT_S, RequestEnds
+from berylchute.retrybudget import RetryBounds
+from berylchute.retrybudgets import RetryBudgets
 from berylchute.returns import ReturnDetector
 from berylchute.routeindex import RouteIndex
-from berylchute.selection import Selection, Selector
+from berylchute.selection import NoServerReason, Selection, Selector
+from berylchute.sendpermits import SendPermits
 from berylchute.servers import Server
 from berylchute.servertracker import ServerTracker
 from berylchute.sharedobjects import Route, RouteKind
@@ -37,10 +38,6 @@
 
 __all__ = ["RequestHandler"]
 
-logger = logging.getLogger(__name__)
-
-# Remaining time assumed for callers that send no deadline: the usual timeout of HTTP clients.
-TIME_LEFT_DEFAULT_S = 30.0
 # Unreachable servers skipped for one request. Each may take CONNECT_TIMEOUT_S, and all of them
 # together most of a usual time budget of 1.5 s.
 NOT_SENT_MAX = 3
@@ -69,6 +66,7 @@
         discovery: MemberDiscovery,
         region_of_zone: Callable[[str], str],
         region_sends: RegionSends,
+        permits: SendPermits | None = None,
     ) -> None:
         self._header_names = header_names
         self._routes = routes
@@ -76,20 +74,36 @@
         self._selector = selector
         self._background_tasks = background_tasks
         self._clock = clock
-        self._rng = rng
-        self._log = log
         self._tracker = ServerTracker(backends, header_names, clock, log)
         self._metrics = metrics
-        self.retry_bounds = retry_bounds
         self._member_count = member_count
         self._region_of_zone = region_of_zone
         self._region_sends = region_sends
-        self._discovery = discovery
-        self._retry_budgets: dict[str, RetryBudget] = {}
+        self._permits = permits
+        self._retry_budgets = RetryBudgets(retry_bounds, discovery)
+        self._ends = RequestEnds(
+            header_names=header_names,
+            routes=routes,
+            retry_budgets=self._retry_budgets,
+            member_count=member_count,
+            clock=clock,
+            rng=rng,
+            log=log,
+            metrics=metrics,
+        )
         self._returns = ReturnDetector()
         self._scopes: set[anyio.CancelScope] = set()
         self.stop_times = StopTimes()
 
+    @property
+    def retry_bounds(self) -> RetryBounds:
+        """Return the bounds of retries; they may be replaced."""
+        return self._retry_budgets.bounds
+
+    @retry_bounds.setter
+    def retry_bounds(self, bounds: RetryBounds) -> None:
+        self._retry_budgets.bounds = bounds
+
     @property
     def in_flight(self) -> int:
         """Return the number of requests in flight."""
@@ -103,12 +117,15 @@
         request = pending.request
         table = self._routes.table
         if table is None or not len(self._backends):
-            headers = (make_retry_after(STARTING_RETRY_AFTER_S),)
-            self._end(pending, None, Outcome.STARTING, CallerAnswer(503, headers))
+            self._ends.refuse_starting(pending)
             return
         route = self._routes.find(request.host, request.path)
         if route is None:
-            self._end(pending, None, Outcome.NO_ROUTE, CallerAnswer(404))
+            self._ends.end(pending, None, Outcome.NO_ROUTE, CallerAnswer(404))
+            return
+        identity = self._identify(request, route)
+        if isinstance(identity, UnauthorizedReason):
+            self._ends.refuse_unauthorized(pending, None, identity)
             return
         remaining_s = TIME_LEFT_DEFAULT_S
         if request.time_left_ms is not None:
@@ -122,16 +139,14 @@
             deadline_s=request.received_s + min(remaining_s, route.timeout_s),
             is_return=self._returns.is_return(route.name, request.time_left_ms, request.received_s),
         )
-        self._retry_budget(active.service).record_request(self._clock.now_s())
+        if identity is not None:
+            active.apply_identity(identity)
+        self._retry_budgets.of(active.service).record_request(self._clock.now_s())
         self._background_tasks.start_isolated(self._run_attempts, active)
 
     def refuse(self, pending: PendingRequest) -> None:
         """Refuse a request whose body can't be held; it was not sent to any server."""
-        remaining_s = TIME_LEFT_DEFAULT_S
-        if pending.request.time_left_ms is not None:
-            remaining_s = pending.request.time_left_ms / 1000.0
-        headers = (make_retry_after(choose_delay_s(remaining_s, self._rng)),)
-        self._end(pending, None, Outcome.NO_MEMORY, CallerAnswer(503, headers))
+        self._ends.refuse_without_memory(pending)
 
     async def _run_attempts(self, active: ActiveRequest) -> None:
         scope = anyio.move_on_after(active.deadline_s - self._clock.now_s())
@@ -139,31 +154,22 @@
         try:
             with scope:
                 active.pending.cancel = scope.cancel
-                while not await self._send_attempt(active):
-                    pass
+                if await self._acquire_permit(active):
+                    while not await self._send_attempt(active):
+                        pass
             if scope.cancelled_caught:
                 if active.pending.has_caller_left:
-                    self._end(active.pending, active, Outcome.CALLER_LEFT, None)
+                    self._ends.end(active.pending, active, Outcome.CALLER_LEFT, None)
                 elif active.failed_answer is not None:
-                    self._forward_answer(active, Outcome.SERVER_FAILED, active.failed_answer)
+                    self._ends.forward(active, Outcome.SERVER_FAILED, active.failed_answer)
                 else:
-                    self._end(active.pending, active, Outcome.TIMED_OUT, CallerAnswer(504))
+                    self._ends.end(active.pending, active, Outcome.TIMED_OUT, CallerAnswer(504))
         except Exception as error:
-            self._end_failed(active, error)
+            self._ends.end_failed(active, error)
         finally:
             self._scopes.discard(scope)
-
-    def _end_failed(self, active: ActiveRequest, error: Exception) -> None:
-        """Answer a request whose processing raised an error that no code foresaw."""
-        request_id = active.request.request_id
-        logger.error("request %s failed, ending it: %r", request_id, error, exc_info=error)
-        if active.pending.answer is not None:
-            return
-        active.reason = "internal_error"
-        answer = CallerAnswer(502)
-        if active.was_never_sent:
-            answer = CallerAnswer(503, (make_retry_after(STARTING_RETRY_AFTER_S),))
-        self._end(active.pending, active, Outcome.INTERNAL_ERROR, answer)
+            if self._permits is not None and active.has_permit and active.was_never_sent:
+                self._permits.release(active)
 
     def end_unfinished(self) -> None:
         """Answer the requests in flight as if their time were over, before the process ends."""
@@ -178,13 +184,62 @@
                 if self._backends.should_open_spare(server, self._member_count):
                     self._background_tasks.start_isolated(server.pool.open_spare_connection)
 
+    def _identify(
+        self, request: CallerRequest, route: Route
+    ) -> Identity | UnauthorizedReason | None:
+        """Return who sent a request, None if the configuration has no organisations."""
+        directory = self._routes.organisations
+        if directory is None:
+            return None
+        header = self._header_names.organisation
+        return identify_request(directory, request.headers, header, is_public=route.is_public)
+
+    def _is_identity_current(self, active: ActiveRequest) -> bool:
+        """Return whether the request was identified by the configuration in force.
+
+        Requests in flight keep their identity when a configuration has no organisations.
+        """
+        directory = self._routes.organisations
+        return directory is None or (
+            active.identity is not None and active.identity.directory is directory
+        )
+
+    def _renew_identity(self, active: ActiveRequest) -> bool:
+        """Identify a request by a new configuration; if it is no longer valid, end it."""
+        request = active.request
+        route = self._routes.find(request.host, request.path) or active.route
+        identity = self._identify(request, route)
+        if isinstance(identity, UnauthorizedReason):
+            was_valid = active.organisation is not None
+            active.reason = UnauthorizedReason.KEY_REMOVED if was_valid else identity
+            if active.was_never_sent:
+                self._ends.refuse_unauthorized(active.pending, active, active.reason)
+            else:
+                self._ends.end_unanswered(active)
+            return False
+        if identity is not None:
+            active.apply_identity(identity)
+        return True
+
+    async def _acquire_permit(self, active: ActiveRequest) -> bool:
+        """Return whether the organisation's request may be sent; if not, refuse it."""
+        if self._permits is None or active.organisation is None:
+            return True
+        retry_after_s = await self._permits.acquire(active)
+        active.has_permit = retry_after_s is None
+        if retry_after_s is not None:
+            self._ends.refuse_over_allotment(active, retry_after_s)
+        return active.has_permit
+
     def _select_server(self, active: ActiveRequest, now_s: float) -> Selection:
+        if active.home_regions is not None and not active.home_regions:
+            return Selection(None, NoServerReason.NO_COMMON_REGION)
         return self._selector.select(
             active.service,
             active.key,
             active.route.goal_s,
             active.route.kind is RouteKind.UPLOAD,
-            lambda zone: self._is_allowed_zone(active.route, zone),
+            lambda zone: self._is_allowed_zone(active, zone),
             active.tried_ids,
             now_s,
             is_return=active.is_return,
@@ -195,18 +250,21 @@
         now_s = self._clock.now_s()
         if not self.stop_times.leave_time_for(active.deadline_s, now_s):
             active.reason = active.reason or "stopping"
-            self._end_unanswered(active)
+            self._ends.end_unanswered(active)
+            return True
+        if not self._is_identity_current(active) and not self._renew_identity(active):
             return True
         selection = self._select_server(active, now_s)
         server = selection.server
         if server is None:
-            self._refuse(active, selection)
+            active.reason = active.reason or str(selection.no_server_reason)
+            self._ends.end_unanswered(active, selection)
             return True
-        if active.send_count and not self._retry_budget(active.service).acquire(
+        if active.send_count and not self._retry_budgets.of(active.service).acquire(
             self._member_count(), now_s, is_return=active.is_return
         ):
             active.reason = f"{active.reason}, no retry budget"
-            self._end_unanswered(active)
+            self._ends.end_unanswered(active)
             return True
         attempt = start_attempt(active, server, selection, now_s)
         retry_cause = active.retry_cause
@@ -221,9 +279,18 @@
             self._background_tasks.start_isolated(server.pool.open_spare_connection)
         try:
             answer = await server.pool.exchange(
-                encode_request(self._header_names, active, server.entry.server_id, now_s)
+                encode_request(
+                    self._header_names,
+                    active,
+                    server.entry.server_id,
+                    now_s,
+                    may_send=lambda: self._is_identity_current(active),
+                )
             )
             attempt.result = str(answer.status)
+        except SendWithdrawn as error:
+            attempt.result = error.code
+            return False
         except NotSent as error:
             attempt.result = error.code
             return self._handle_not_sent(active, server, error)
@@ -239,7 +306,7 @@
             seconds = self._clock.now_s() - now_s
             attempt.server_ms = round_ms(seconds)
             self._metrics.record_attempt(active.service, attempt.result, seconds)
-            if retry_cause and attempt.result != NotSent.code:
+            if retry_cause and attempt.was_sent:
                 self._metrics.retries.labels(retry_cause).inc()
         active.send_count += 1
         return self._handle_answer(active, server, answer, seconds)
@@ -250,7 +317,7 @@
         active.reason = error.code
         self._tracker.record_failure(server, error)
         if active.not_sent_count > NOT_SENT_MAX:
-            self._end_unanswered(active)
+            self._ends.end_unanswered(active)
             return True
         return False
 
@@ -266,7 +333,7 @@
         if active.route.kind.is_idempotent and active.send_count < active.route.attempts_max:
             active.retry_cause = error.code
             return False
-        self._end_unanswered(active)
+        self._ends.end_unanswered(active)
         return True
 
     def _handle_answer(
@@ -281,7 +348,7 @@
             if active.send_count < active.route.attempts_max:
                 active.retry_cause = "server_refused"
                 return False
-            self._end_unanswered(active)
+            self._ends.end_unanswered(active)
             return True
         outcome = Outcome.ANSWERED if answer.status < 500 else Outcome.SERVER_FAILED
         if outcome is Outcome.SERVER_FAILED and self._may_retry_failure(active, now_s):
@@ -290,116 +357,20 @@
             active.failed_answer = answer
             active.retry_cause = "server_failed"
             return False
-        self._forward_answer(active, outcome, answer)
+        self._ends.forward(active, outcome, answer)
         return True
 
-    def _forward_answer(
-        self, active: ActiveRequest, outcome: Outcome, answer: ServerAnswer
-    ) -> None:
-        """End the request with an unchanged answer of a server."""
-        self._end(
-            active.pending,
-            active,
-            outcome,
-            CallerAnswer(answer.status, answer.headers, answer.body),
-        )
-
     def _may_retry_failure(self, active: ActiveRequest, now_s: float) -> bool:
         return (
             active.route.kind.is_idempotent
             and active.send_count < active.route.attempts_max
             and active.deadline_s - now_s > active.route.goal_s
-            and self._retry_budget(active.service).remaining(
+            and self._retry_budgets.of(active.service).remaining(
                 self._member_count(), now_s, is_return=active.is_return
             )
             >= 1.0
         )
 
-    def _refuse(self, active: ActiveRequest, selection: Selection) -> None:
-        active.reason = active.reason or str(selection.no_server_reason)
-        self._end_unanswered(active, selection)
-
-    def _end_unanswered(self, active: ActiveRequest, selection: Selection | None = None) -> None:
-        """End a request whose last attempt got no answer that can be forwarded.
-
-        A request that certainly has not run is refused with Retry-After.
-        """
-        if active.failed_answer is not None:
-            self._forward_answer(active, Outcome.SERVER_FAILED, active.failed_answer)
-            return
-        if active.may_have_run:
-            self._end(active.pending, active, Outcome.ANSWER_LOST, CallerAnswer(502), selection)
-            return
-        remaining_s = TIME_LEFT_DEFAULT_S
-        if active.request.time_left_ms is not None:
-            elapsed_s = self._clock.now_s() - active.request.received_s
-            remaining_s = max(0.0, active.request.time_left_ms / 1000.0 - elapsed_s)
-        earliest_s = selection.retry_after_s if selection else 0.0
-        delay_s = choose_delay_s(remaining_s, self._rng, earliest_s=earliest_s)
-        headers = (make_retry_after(delay_s),)
-        self._end(active.pending, active, Outcome.REFUSED, CallerAnswer(503, headers), selection)
-
-    def _end(
-        self,
-        pending: PendingRequest,
-        active: ActiveRequest | None,
-        outcome: Outcome,
-        answer: CallerAnswer | None,
-        selection: Selection | None = None,
-    ) -> None:
-        """Answer the caller and record the outcome in metrics and the event log.
-
-        `answer` is None if the caller has left, and `active` if the request was not routed.
-        """
-        request = pending.request
-        if answer is not None:
-            if outcome not in (Outcome.ANSWERED, Outcome.SERVER_FAILED) and request.request_id:
-                name = self._header_names.request_id.title()
-                headers = (*answer.headers, (name, request.request_id.encode("latin-1")))
-                answer = attrs.evolve(answer, headers=headers)
-            pending.respond(answer)
-        total_s = self._clock.now_s() - request.received_s
-        service = active.service if active else ""
-        kind = active.route.kind.value if active else ""
-        self._metrics.record_outcome(
-            service, kind, outcome, active.reason if active else "", total_s
-        )
-        table = self._routes.table
-        self._log.request_event(
-            "request",
-            failed=outcome is not Outcome.ANSWERED,
-            request_id=request.request_id,
-            outcome=outcome,
-            status=answer.status if answer else 0,
-            path=request.path,
-            service=service,
-            key=request.affinity_key,
-            reason=active.reason if active else "",
-            attempts=active.attempts if active else (),
-            refused_at_load=round(selection.load, 2) if selection else None,
-            retries_left=self._retries_left(active),
-            total_ms=round_ms(total_s),
-            time_left_ms=request.time_left_ms,
-            routes_number=table.number if table else 0,
-        )
-
-    def _retries_left(self, active: ActiveRequest | None) -> float | None:
-        """Return the service's remaining retry budget, None without a failure or refusal."""
-        if active is None or not active.reason:
-            return None
-        remaining = self._retry_budget(active.service).remaining(
-            self._member_count(), self._clock.now_s()
-        )
-        return round(remaining, 1)
-
-    def _is_allowed_zone(self, route: Route, availability_zone: str) -> bool:
-        if not route.home_regions:
-            return True
-        return self._region_of_zone(availability_zone) in route.home_regions
-
-    def _retry_budget(self, service: str) -> RetryBudget:
-        budget = self._retry_budgets.get(service)
-        if budget is None:
-            budget = self._retry_budgets[service] = RetryBudget(self.retry_bounds, self._discovery)
-        budget.bounds = self.retry_bounds
-        return budget
+    def _is_allowed_zone(self, active: ActiveRequest, availability_zone: str) -> bool:
+        regions = active.home_regions
+        return regions is None or self._region_of_zone(availability_zone) in regions
--- a/berylchute/routeindex.py
+++ b/berylchute/routeindex.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from berylchute.organisations import OrganisationDirectory
 from berylchute.sharedobjects import Route, RouteShare, RouteTable
 
 __all__ = ["RouteIndex"]
@@ -29,10 +30,14 @@
 
 
 class RouteIndex:
-    """The current route table, indexed by host and path prefix."""
+    """The current route table, indexed by host and path prefix.
+
+    `organisations` is None if callers need no keys, and another object after each change.
+    """
 
     def __init__(self) -> None:
         self.table: RouteTable | None = None
+        self.organisations: OrganisationDirectory | None = None
         self._by_host: dict[str, list[Route]] = {}
         self._round_robins: dict[str, _WeightedRoundRobin] = {}
 
@@ -41,6 +46,9 @@
         if self.table is not None and table.number < self.table.number:
             return False
         self.table = table
+        self.organisations = (
+            OrganisationDirectory(table.organisations) if table.organisations else None
+        )
         self._by_host = {}
         for route in table.routes:
             self._by_host.setdefault(route.host, []).append(route)
--- a/berylchute/selection.py
+++ b/berylchute/selection.py
@@ -40,6 +40,7 @@
     RATE_LIMITED = "rate_limited"
     SPILL_LIMITED = "spill_limited"
     PAUSED = "paused"
+    NO_COMMON_REGION = "no_common_region"
 
 
 @attrs.frozen
--- a/berylchute/sharedobjects.py
+++ b/berylchute/sharedobjects.py
@@ -1,4 +1,4 @@
-"""Define the objects that members share: routes, services, registered servers, drained zones."""
+"""Define the objects that members share: configuration, registered servers, drained zones."""
 
 from enum import StrEnum
 
@@ -13,6 +13,7 @@
     "SHARED_KEYS",
     "ZONE_DRAINS_KEY",
     "CallerLimits",
+    "Organisation",
     "Route",
     "RouteKind",
     "RouteShare",
@@ -57,7 +58,7 @@
     """How to route requests to one host name under a path prefix.
 
     `goal_s` is the latency objective. `attempts_max` counts the first attempt. Priority 0 is the
-    most urgent. Empty `home_regions` allow every region.
+    most urgent. Empty `home_regions` allow every region. Requests of a public route need no key.
     """
 
     name: str
@@ -70,6 +71,24 @@
     priority: int
     shares: tuple[RouteShare, ...]
     home_regions: tuple[str, ...] = ()
+    is_public: bool = False
+
+
+@attrs.frozen
+class Organisation:
+    """An organisation whose callers send one of its keys.
+
+    `key_sha256` holds the digests of the keys in hexadecimal digits. `priority` replaces that of
+    the route unless it is None. A `rate_per_s` of 0 is no limit. Empty `home_regions` allow every
+    region of the route.
+    """
+
+    name: str
+    key_sha256: tuple[str, ...] = ()
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    home_regions: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -97,12 +116,16 @@
 
 @attrs.frozen
 class RouteTable:
-    """All routes and services of one configuration; `number` increases with each version."""
+    """All routes and services of one configuration; `number` increases with each version.
+
+    Without `organisations` callers need no keys.
+    """
 
     number: int
     routes: tuple[Route, ...]
     services: tuple[ServicePolicy, ...]
     limits: CallerLimits
+    organisations: tuple[Organisation, ...] = ()
 
 
 @attrs.frozen
--- a/berylchute/upstream.py
+++ b/berylchute/upstream.py
@@ -4,7 +4,7 @@
 import logging
 
 from berylchute.bodymemory import BodyMemory
-from berylchute.exceptions import NotSent
+from berylchute.exceptions import NotSent, SendWithdrawn
 from berylchute.serverconnection import IDLE_TIMEOUT_DEFAULT_S, ServerConnection
 from berylchute.types import Clock
 from berylchute.upstreammessages import ServerAnswer, UpstreamRequest
@@ -44,10 +44,18 @@
         self.last_connect_s: float | None = None
 
     async def exchange(self, request: UpstreamRequest) -> ServerAnswer:
-        """Send a request on an idle or new connection; raise NotSent, AnswerLost, AnswerInvalid."""
+        """Send a request on an idle or new connection; raise NotSent, AnswerLost or AnswerInvalid.
+
+        Raises SendWithdrawn if the request may no longer be sent once a connection is open.
+        """
         if request.needs_new_connection:
             return await self._exchange_alone(request)
-        connection = self._acquire_idle() or await self._connect()
+        connection = self._acquire_idle()
+        if connection is None:
+            connection = await self._connect()
+            if not _may_send(request):
+                self._keep_idle(connection)
+                raise SendWithdrawn("the configuration changed while the connection was opened")
         answer = await connection.exchange(request)
         if connection.is_usable:
             self._idle.append(connection)
@@ -60,6 +68,8 @@
             self._open.discard(idle)
         connection = await self._connect()
         try:
+            if not _may_send(request):
+                raise SendWithdrawn("the configuration changed while the connection was opened")
             return await connection.exchange(request)
         finally:
             connection.abort()
@@ -82,6 +92,10 @@
             self._spare_retry_at_s = self._clock.now_s() + SPARE_RETRY_DELAY_S
             _LOG.info("spare connection not opened, retrying later: %s", error)
             return
+        self._keep_idle(connection)
+
+    def _keep_idle(self, connection: ServerConnection) -> None:
+        """Keep a new connection that has carried no request yet."""
         if self._is_closed:
             connection.abort()
         elif connection.is_usable:
@@ -148,3 +162,7 @@
         self._open.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
+
+
+def _may_send(request: UpstreamRequest) -> bool:
+    return request.may_send is None or request.may_send()
--- a/berylchute/upstreammessages.py
+++ b/berylchute/upstreammessages.py
@@ -1,5 +1,7 @@
 """Define the requests to backend servers and their answers."""
 
+from collections.abc import Callable
+
 import attrs
 
 from berylchute.callermessages import Header
@@ -13,7 +15,8 @@
 
     The answer must carry `request_id` in the header `id_header`; an empty id is not checked.
     `is_head` is true for the method HEAD, whose answer has no body. A request that
-    `needs_new_connection` shares its connection with no other request.
+    `needs_new_connection` shares its connection with no other request. `may_send` is called before
+    the first byte is sent, if the request had to wait for a connection.
     """
 
     request_id: bytes
@@ -22,6 +25,7 @@
     head: bytes
     body: bytes | bytearray = b""
     needs_new_connection: bool = False
+    may_send: Callable[[], bool] | None = None
 
 
 @attrs.frozen
