Move the checks before a send into sendchecks.py, and test organisations

Cause: a permit was returned for the organisation that a request has at its end, though the key may have moved to another one while the request waited; and the cache of Authorization values could be filled with values of up to 16 KB each (one key among spaces).

Change: SendPermits.release names the organisation whose permit it returns; if the key moves before the first send, a permit of the new organisation is acquired. The cache holds at most 1,024 values of at most 512 bytes. The event loop's program applies shared objects through objectapplier.py. The check that names of the platform stay in their folder includes packages.

--- a/berylchute/attempts.py
+++ b/berylchute/attempts.py
@@ -71,8 +71,8 @@
     `organisation` is the one whose key the request has, `priority` its effective rank, 0 the most
     urgent. `home_regions` are those of servers that may run it, None for all; no server may run it
     if they are empty. `headers` are sent to servers. `identity` is None if the configuration had no
-    organisations when the request arrived. `has_permit` is true once its organisation's allotment
-    has let it pass.
+    organisations when the request arrived. `permit_of` is the organisation of which it has a
+    permit to be sent.
     """
 
     pending: PendingRequest
@@ -89,7 +89,7 @@
     retry_cause: str = ""
     may_have_run: bool = False
     failed_answer: ServerAnswer | None = None
-    has_permit: bool = False
+    permit_of: Organisation | None = None
     identity: Identity | None = attrs.field(default=None, init=False)
     organisation: Organisation | None = attrs.field(default=None, init=False)
     priority: int = attrs.field(init=False)
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -24,6 +24,7 @@
 from berylchute.exceptions import ConfigError, ListenError, SettingsError, first_error
 from berylchute.membership import MembershipTiming
 from berylchute.node import BootClock, Node
+from berylchute.objectapplier import ObjectApplier
 from berylchute.processsignals import ProcessSignals
 from berylchute.regionsends import RegionSends
 from berylchute.requesthandler import RequestHandler
@@ -32,7 +33,7 @@
 from berylchute.selection import Selector
 from berylchute.serverlimits import ServerLimits
 from berylchute.servers import Server
-from berylchute.sharedobjects import SHARED_KEYS, RouteTable, ServerList, ZoneDrains, decode_object
+from berylchute.sharedobjects import SHARED_KEYS
 from berylchute.spillshare import SpillLimiter
 from berylchute.stoptimes import StopTimes
 from berylchute.storecontact import StoreContact, StoreProbe
@@ -132,12 +133,14 @@
             self._body_memory,
             self._handler.refuse,
         )
+        self._objects = ObjectApplier(
+            self._routes, self._backends, self._caller_server, self._clock, self._log
+        )
         self._caller_servers = {settings.node.listen.http: self._caller_server}
         self._signalled = anyio.Event()
         self._stop_requested = anyio.Event()
         self._is_stopping = False
         self._published_ready = False
-        self._updated_at_s: dict[str, float] = {}
         self._logged_members: Sequence[MemberStatus] = ()
         self._metrics.read_state = self._read_state
         if settings.metrics_address:
@@ -254,39 +257,11 @@
         async for stored in self._node.subscribe_objects(*SHARED_KEYS):
             current = self._node.objects.get(stored.key) or stored
             try:
-                self._apply_object(current)
+                self._objects.apply(current)
             except ConfigError as error:
                 self._log.event("object_rejected", key=stored.key, reason=str(error))
             self._report_ready()
 
-    def _apply_object(self, stored: StoredObject) -> None:
-        """Decode a shared object and apply it; raise ConfigError."""
-        value = decode_object(stored.key, stored.value)
-        self._updated_at_s[stored.key] = self._clock.now_s()
-        if isinstance(value, RouteTable):
-            newer = self._routes.replace(value)
-            if newer:
-                self._backends.configure(value)
-                self._caller_server.limits = value.limits
-            self._log.event(
-                "routes",
-                number=value.number,
-                version=stored.version,
-                newer=newer,
-                organisations=len(value.organisations),
-            )
-        elif isinstance(value, ServerList):
-            self._backends.update_servers(value)
-            self._log.event("servers", count=len(value.entries), version=stored.version)
-        elif isinstance(value, ZoneDrains):
-            returned = self._backends.drain_zones(value.availability_zones)
-            self._log.event(
-                "zone_drains",
-                zones=value.availability_zones,
-                returned=returned,
-                version=stored.version,
-            )
-
     def _receive_object(self, stored: StoredObject) -> None:
         if self._node.apply_object(stored):
             return
@@ -413,7 +388,8 @@
             members=Counter(status.state.value for status in self._node.members.list_members()),
             store_silence_s=now_s - max(feed.last_success_s for feed in self._feeds),
             object_ages_s={
-                key: now_s - updated_at_s for key, updated_at_s in self._updated_at_s.items()
+                key: now_s - updated_at_s
+                for key, updated_at_s in self._objects.updated_at_s.items()
             },
             store_calls={
                 **{feed.name: feed.calls for feed in self._feeds},
--- a/berylchute/organisations/directory.py
+++ b/berylchute/organisations/directory.py
@@ -11,9 +11,11 @@
 
 __all__ = ["OrganisationDirectory"]
 
-# Twenty times as many as 80 organisations with two keys use. Unknown keys are not stored, so that
-# callers cannot displace known ones.
-CACHED_VALUES_MAX = 4096
+# Six times as many as 80 organisations with two keys use. Only values with a known key are kept, so
+# that callers without one can't displace others.
+CACHED_VALUES_MAX = 1024
+# Spaces around a key may fill a request head. Keys have at most 256 characters.
+CACHED_VALUE_BYTES_MAX = 512
 
 
 class OrganisationDirectory:
@@ -33,7 +35,8 @@
         organisation = self._cache.get(authorization)
         if organisation is None:
             organisation = self._by_digest.find(authorization)
-            if organisation is not None and len(self._cache) < CACHED_VALUES_MAX:
+            is_short = len(authorization) <= CACHED_VALUE_BYTES_MAX
+            if organisation is not None and is_short and len(self._cache) < CACHED_VALUES_MAX:
                 self._cache[authorization] = organisation
         return organisation
 
--- a/berylchute/requesthandler.py
+++ b/berylchute/requesthandler.py
@@ -14,13 +14,13 @@
 )
 from berylchute.backends import Backends
 from berylchute.background import BackgroundTasks
-from berylchute.callers import CallerAnswer, CallerRequest, PendingRequest
+from berylchute.callers import CallerAnswer, PendingRequest
 from berylchute.discovery import MemberDiscovery
 from berylchute.edgemetrics import EdgeMetrics
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import AnswerDropped, ExchangeError, NotSent, SendWithdrawn
 from berylchute.headernames import HeaderNames
-from berylchute.organisations import Identity, UnauthorizedReason, identify_request
+from berylchute.organisations import UnauthorizedReason
 from berylchute.regionsends import RegionSends
 from berylchute.requestends import TIME_LEFT_DEFAULT_S, RequestEnds
 from berylchute.retrybudget import RetryBounds
@@ -28,10 +28,10 @@
 from berylchute.returns import ReturnDetector
 from berylchute.routeindex import RouteIndex
 from berylchute.selection import NoServerReason, Selection, Selector
-from berylchute.sendpermits import SendPermits
+from berylchute.sendchecks import SendChecks, SendPermits
 from berylchute.servers import Server
 from berylchute.servertracker import ServerTracker
-from berylchute.sharedobjects import Route, RouteKind
+from berylchute.sharedobjects import RouteKind
 from berylchute.stoptimes import StopTimes
 from berylchute.types import Clock
 from berylchute.upstream import ServerAnswer
@@ -79,7 +79,6 @@
         self._member_count = member_count
         self._region_of_zone = region_of_zone
         self._region_sends = region_sends
-        self._permits = permits
         self._retry_budgets = RetryBudgets(retry_bounds, discovery)
         self._ends = RequestEnds(
             header_names=header_names,
@@ -91,6 +90,7 @@
             log=log,
             metrics=metrics,
         )
+        self._checks = SendChecks(routes, header_names.organisation, self._ends, permits)
         self._returns = ReturnDetector()
         self._scopes: set[anyio.CancelScope] = set()
         self.stop_times = StopTimes()
@@ -123,7 +123,7 @@
         if route is None:
             self._ends.end(pending, None, Outcome.NO_ROUTE, CallerAnswer(404))
             return
-        identity = self._identify(request, route)
+        identity = self._checks.identify(request, route)
         if isinstance(identity, UnauthorizedReason):
             self._ends.refuse_unauthorized(pending, None, identity)
             return
@@ -154,9 +154,8 @@
         try:
             with scope:
                 active.pending.cancel = scope.cancel
-                if await self._acquire_permit(active):
-                    while not await self._send_attempt(active):
-                        pass
+                while await self._checks.may_send(active) and not await self._send_attempt(active):
+                    pass
             if scope.cancelled_caught:
                 if active.pending.has_caller_left:
                     self._ends.end(active.pending, active, Outcome.CALLER_LEFT, None)
@@ -168,8 +167,7 @@
             self._ends.end_failed(active, error)
         finally:
             self._scopes.discard(scope)
-            if self._permits is not None and active.has_permit and active.was_never_sent:
-                self._permits.release(active)
+            self._checks.release_unused(active)
 
     def end_unfinished(self) -> None:
         """Answer the requests in flight as if their time were over, before the process ends."""
@@ -184,53 +182,6 @@
                 if self._backends.should_open_spare(server, self._member_count):
                     self._background_tasks.start_isolated(server.pool.open_spare_connection)
 
-    def _identify(
-        self, request: CallerRequest, route: Route
-    ) -> Identity | UnauthorizedReason | None:
-        """Return who sent a request, None if the configuration has no organisations."""
-        directory = self._routes.organisations
-        if directory is None:
-            return None
-        header = self._header_names.organisation
-        return identify_request(directory, request.headers, header, is_public=route.is_public)
-
-    def _is_identity_current(self, active: ActiveRequest) -> bool:
-        """Return whether the request was identified by the configuration in force.
-
-        Requests in flight keep their identity when a configuration has no organisations.
-        """
-        directory = self._routes.organisations
-        return directory is None or (
-            active.identity is not None and active.identity.directory is directory
-        )
-
-    def _renew_identity(self, active: ActiveRequest) -> bool:
-        """Identify a request by a new configuration; if it is no longer valid, end it."""
-        request = active.request
-        route = self._routes.find(request.host, request.path) or active.route
-        identity = self._identify(request, route)
-        if isinstance(identity, UnauthorizedReason):
-            was_valid = active.organisation is not None
-            active.reason = UnauthorizedReason.KEY_REMOVED if was_valid else identity
-            if active.was_never_sent:
-                self._ends.refuse_unauthorized(active.pending, active, active.reason)
-            else:
-                self._ends.end_unanswered(active)
-            return False
-        if identity is not None:
-            active.apply_identity(identity)
-        return True
-
-    async def _acquire_permit(self, active: ActiveRequest) -> bool:
-        """Return whether the organisation's request may be sent; if not, refuse it."""
-        if self._permits is None or active.organisation is None:
-            return True
-        retry_after_s = await self._permits.acquire(active)
-        active.has_permit = retry_after_s is None
-        if retry_after_s is not None:
-            self._ends.refuse_over_allotment(active, retry_after_s)
-        return active.has_permit
-
     def _select_server(self, active: ActiveRequest, now_s: float) -> Selection:
         if active.home_regions is not None and not active.home_regions:
             return Selection(None, NoServerReason.NO_COMMON_REGION)
@@ -252,8 +203,6 @@
             active.reason = active.reason or "stopping"
             self._ends.end_unanswered(active)
             return True
-        if not self._is_identity_current(active) and not self._renew_identity(active):
-            return True
         selection = self._select_server(active, now_s)
         server = selection.server
         if server is None:
@@ -284,7 +233,7 @@
                     active,
                     server.entry.server_id,
                     now_s,
-                    may_send=lambda: self._is_identity_current(active),
+                    may_send=lambda: self._checks.is_identity_current(active),
                 )
             )
             attempt.result = str(answer.status)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -1,12 +1,23 @@
 """Check the decoding of the platform's objects, and that its names are used in its folder only."""
 
+import logging
 import re
+from hashlib import sha256
 from pathlib import Path
 from typing import Any
 
 import pytest
 
-from berylchute.sharedobjects import RouteKind, RouteShare, RouteTable, ServerEntry
+from berylchute.sharedobjects import (
+    ROUTES_KEY,
+    Organisation,
+    RouteKind,
+    RouteShare,
+    RouteTable,
+    ServerEntry,
+    decode_object,
+    encode_object,
+)
 from berylchute_platform.documents import (
     decode_document,
     make_routes,
@@ -89,6 +100,95 @@
     assert make_routes({}) is None
 
 
+TENANT: dict[str, Any] = {
+    "name": "huka270",
+    "api-keys": ["key-1", "key-2"],
+    "priority": 1,
+    "rate-per-s": 424,
+    "burst": 42.5,
+    "home-regions": ["ra"],
+}
+
+
+def _decode_tenants(*tenants: dict[str, Any]) -> object | None:
+    return decode_document("config", "main", {"spec": {**MANIFEST, "tenants": list(tenants)}})
+
+
+def test_tenants_become_organisations() -> None:
+    # Guard against fields of a tenant that are lost, and keys that are kept as they are.
+    table = _decode_tenants(TENANT, {"name": "bare"})
+    assert isinstance(table, RouteTable)
+    digests = tuple(sha256(key.encode()).hexdigest() for key in TENANT["api-keys"])
+    huka, bare = table.organisations
+    assert huka == Organisation("huka270", digests, 1, 424.0, 42.5, ("ra",))
+    assert bare == Organisation("bare", (), None, 0.0, 0.0, ())
+    assert not any(key in repr(table) for key in TENANT["api-keys"])
+    encoded = encode_object(table)
+    assert decode_object(ROUTES_KEY, encoded) == table
+    assert not any(key.encode() in encoded for key in TENANT["api-keys"])
+
+
+def test_route_is_public_only_if_the_manifest_says_so() -> None:
+    # Guard against routes that need no key by mistake.
+    public = {**MANIFEST, "routes": [ROUTE, {**ROUTE, "public": True}]}
+    table = decode_document("config", "main", {"spec": public})
+    assert isinstance(table, RouteTable)
+    assert [route.is_public for route in table.routes] == [False, True]
+
+
+@pytest.mark.parametrize("tenants", [None, []])
+def test_manifest_without_tenants_needs_no_keys(tenants: Any) -> None:
+    # Guard against 401 for all callers where the list is present but names nobody.
+    table = decode_document("config", "main", {"spec": {**MANIFEST, "tenants": tenants}})
+    assert isinstance(table, RouteTable) and table.organisations == ()
+
+
+def test_null_fields_of_a_tenant_are_missing_ones() -> None:
+    # Guard against a whole configuration that is rejected for an optional field without a value.
+    nulls = {name: None for name in TENANT if name != "name"}
+    table = _decode_tenants({**nulls, "name": "bare"})
+    assert isinstance(table, RouteTable)
+    assert table.organisations == (Organisation("bare"),)
+
+
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        [TENANT, {"name": "other", "api-keys": ["key-2"]}],
+        [TENANT, {"name": "huka270"}],
+        [{**TENANT, "api-keys": [""]}],
+        [{**TENANT, "api-keys": ["secret key"]}],
+        [{**TENANT, "api-keys": "secret"}],
+        [{**TENANT, "api-keys": [5]}],
+        [{**TENANT, "api-keys": ["x" * 257]}],
+        [{**TENANT, "name": "a\r\nX: y"}],
+        [{**TENANT, "name": ""}],
+        [{"api-keys": ["secret"]}],
+        [{**TENANT, "priority": -1}],
+        [{**TENANT, "priority": "first"}],
+        [{**TENANT, "rate-per-s": -1}],
+        [{**TENANT, "burst": -0.5}],
+        [{**TENANT, "home-regions": "ra"}],
+        ["secret"],
+    ],
+)
+def test_malformed_tenants_reject_the_whole_manifest(
+    tenants: list[Any], caplog: pytest.LogCaptureFixture
+) -> None:
+    # Guard against requests under the wrong organisation, or a configuration of which only a part
+    # holds; and against keys in the log line that reports it.
+    with caplog.at_level(logging.DEBUG):
+        assert _decode_tenants(*tenants) is None
+    assert len(caplog.records) == 1
+    assert not re.search(r"key-|secret|xxx", caplog.text)
+
+
+def test_key_that_a_tenant_lists_twice_is_one_key() -> None:
+    # Guard against a rejected configuration where a repeat is not ambiguous.
+    table = _decode_tenants({**TENANT, "api-keys": ["key-1", "key-1"]})
+    assert isinstance(table, RouteTable) and len(table.organisations[0].key_sha256) == 1
+
+
 def test_server_registration_becomes_an_entry() -> None:
     # Guard against fields of a server's registration that are lost or translated wrongly.
     entry = decode_document("servers", "i-1", SERVER)
@@ -134,13 +234,13 @@
     names = re.compile(
         r"at-rev|has-more|cold-remaining|server-stamp|expect-instance|['\"]not-run|path-prefix"
         r"|BERYLCHUTE_SETTINGS|home-regions|max-conns|cold-per-s|target-latency|(?<!berylchute)/v1/objects"
-        r"|/v1/ready|/v1/resolve|ttl-s|berylchute_platform",
+        r"|/v1/ready|/v1/resolve|ttl-s|berylchute_platform|['\"]tenants?['\"]|api-keys|rate-per-s",
         re.IGNORECASE,
     )
     found = [
         f"{path.name}: {line.strip()}"
         for folder in ("berylchute", "lab", "soak")
-        for path in sorted((ROOT / folder).glob("*.py"))
+        for path in sorted((ROOT / folder).rglob("*.py"))
         if path != WIRE
         for line in path.read_text(encoding="utf-8").splitlines()
         if names.search(line)
--- a/tests/test_requesthandler.py
+++ b/tests/test_requesthandler.py
@@ -2,12 +2,14 @@
 
 import os
 from collections.abc import Callable
+from pathlib import Path
 from random import Random
 
 import anyio
 import attrs
 import pytest
 
+from berylchute.attempts import ActiveRequest
 from berylchute.backends import Backends
 from berylchute.background import BackgroundTasks
 from berylchute.callers import (
@@ -15,22 +17,25 @@
     CallerConnection,
     CallerRequest,
     CallerServer,
+    Header,
     PendingRequest,
 )
 from berylchute.discovery import MemberDiscovery
 from berylchute.edgemetrics import EdgeMetrics
 from berylchute.eventlog import EventLog
-from berylchute.exceptions import AnswerInvalid, AnswerLost, NotSent
+from berylchute.exceptions import AnswerInvalid, AnswerLost, NotSent, SendWithdrawn
 from berylchute.headernames import HeaderNames
 from berylchute.regionsends import RegionSends
 from berylchute.requesthandler import RequestHandler
 from berylchute.retrybudget import RetryBounds
 from berylchute.routeindex import RouteIndex
 from berylchute.selection import Selector
+from berylchute.sendchecks import SendPermits
 from berylchute.serverlimits import ServerLimits
 from berylchute.servers import SILENCE_MIN_S, Server
 from berylchute.sharedobjects import (
     CallerLimits,
+    Organisation,
     RouteKind,
     RouteTable,
     ServerEntry,
@@ -42,6 +47,7 @@
 from berylchute.upstream import ConnectionPool, ServerAnswer, UpstreamRequest
 from tests.endless import SLOW_HEAD, start_endless
 from tests.httpfakes import FakeTransport
+from tests.test_organisations import organisation
 from tests.test_routeindex import route
 
 Reply = ServerAnswer | Exception | float
@@ -100,6 +106,20 @@
         self.retry_ratio = 10.0
         self.warmup_s = 0.0
         self.reply_delay_s = 0.0
+        self.zones = ["za"]
+        self.route_changes: dict[str, object] = {}
+        self.organisations: tuple[Organisation, ...] = ()
+        self.headers: list[Header] = []
+        self.permits: SendPermits | None = None
+        self.routes = RouteIndex()
+        self.log_path = ""
+
+    def configure(self, organisations: tuple[Organisation, ...], number: int = 2) -> None:
+        """Replace the configuration by one with these organisations."""
+        assert self.routes.table is not None
+        self.routes.replace(
+            attrs.evolve(self.routes.table, number=number, organisations=organisations)
+        )
 
     def run(
         self,
@@ -127,9 +147,8 @@
             caller_server = CallerServer(handler.handle, clock)
             connection = CallerConnection(caller_server)
             connection.connection_made(self.transport)
-            request = CallerRequest(
-                b"POST", b"/a/x", "/a/x", "a", [(b"X-Own", b"1")], b"body", clock.now_s()
-            )
+            request = CallerRequest(b"POST", b"/a/x", "/a/x", "a", [], b"body", clock.now_s())
+            request.headers = [(b"X-Own", b"1"), *self.headers]
             request.request_id, request.time_left_ms = "id1", time_left_ms
             self.pending = PendingRequest(connection, request, keep_alive=True)
             connection._pending.append(self.pending)
@@ -147,39 +166,49 @@
         backends = self.backends = Backends(clock, "za")
         table = RouteTable(
             1,
-            (route("/a/", kind=self.kind, timeout_s=timeout_s),),
+            (route("/a/", kind=self.kind, timeout_s=timeout_s, **self.route_changes),),
             (ServicePolicy("s", 64, self.warmup_s, 10.0),),
             CallerLimits(),
+            self.organisations,
         )
-        routes = RouteIndex()
-        routes.replace(table)
+        self.routes.replace(table)
         backends.configure(table)
         names = [f"i-{number}" for number in range(self.servers)]
         backends.update_servers(
-            ServerList(tuple(ServerEntry(n, "s", "127.0.0.1:1", "za", 4, False) for n in names))
+            ServerList(
+                tuple(
+                    ServerEntry(n, "s", "127.0.0.1:1", self.zones[i % len(self.zones)], 4, False)
+                    for i, n in enumerate(names)
+                )
+            )
         )
         for server in backends.of_service("s"):
             server.pool = _Pool(self)  # type: ignore[assignment]
         retry_bounds = RetryBounds(ratio=self.retry_ratio, burst=0.0)
         discovery = MemberDiscovery(clock)
         limits = ServerLimits("m1", backends, clock, discovery)
-        read, write = os.pipe()
-        os.close(read)
+        if self.log_path:
+            write = os.open(self.log_path, os.O_WRONLY | os.O_CREAT)
+        else:
+            read, write = os.pipe()
+            os.close(read)
+        self.log = EventLog(write, "h")
         return RequestHandler(
             header_names=HeaderNames(),
-            routes=routes,
+            routes=self.routes,
             backends=backends,
             selector=Selector(backends, lambda _: True, limits, SpillLimiter()),
             background_tasks=background_tasks,
             clock=clock,
             rng=Random(1),
-            log=EventLog(write, "h"),
+            log=self.log,
             metrics=self.metrics,
             retry_bounds=retry_bounds,
             member_count=lambda: 1,
             discovery=discovery,
-            region_of_zone=lambda _: "ra",
+            region_of_zone=lambda zone: f"r{zone[1:]}",
             region_sends=RegionSends(clock),
+            permits=self.permits,
         )
 
     @property
@@ -436,3 +465,279 @@
     assert _status(answer) == 503 and answer is not None
     assert any(name == b"Retry-After" for name, _ in answer.headers)
     assert not harness.sent
+
+
+ONE = organisation("one", "k1", home_regions=("ra",))
+TWO = organisation("two", "k2")
+KEY_1: Header = (b"Authorization", b"Bearer k1")
+NAME = b"\r\nBerylchute-Organisation: "
+
+
+def _organisations_harness(
+    *replies: Reply, headers: tuple[Header, ...] = (KEY_1,), kind: RouteKind = IDEMPOTENT
+) -> _Harness:
+    harness = _Harness(kind, *replies)
+    harness.organisations = (ONE, TWO)
+    harness.headers = list(headers)
+    return harness
+
+
+def _refusals(harness: _Harness) -> list[str]:
+    lines = harness.metrics.render().decode().splitlines()
+    return [line for line in lines if line.startswith("berylchute_edge_refusals_total")]
+
+
+def test_server_gets_the_organisation_and_never_the_key() -> None:
+    # Guard against a key that is sent to a server, or a made-up name of an organisation.
+    harness = _organisations_harness(OK, headers=((b"Berylchute-Organisation", b"two"), KEY_1))
+    assert _status(harness.run()) == 200
+    sent = harness.sent[0]
+    assert sent.count(NAME) == 1 and NAME + b"one\r\n" in sent
+    assert b"k1" not in sent and b"uthorization" not in sent and b"X-Own: 1" in sent
+
+
+@pytest.mark.parametrize(
+    ("headers", "reason"),
+    [
+        ((), "no_key"),
+        (((b"Authorization", b"Bearer \xff"),), "unknown_key"),
+        ((KEY_1, KEY_1), "several_keys"),
+    ],
+)
+def test_request_without_a_valid_key_is_not_sent(headers: tuple[Header, ...], reason: str) -> None:
+    # Guard against requests of unknown callers at servers, and refusals without a cause.
+    harness = _organisations_harness(OK, headers=headers)
+    answer = harness.run()
+    assert _status(answer) == 401 and answer is not None and not harness.sent
+    assert (b"WWW-Authenticate", b"Bearer") in answer.headers
+    assert _refusals(harness) == [f'berylchute_edge_refusals_total{{reason="{reason}"}} 1.0']
+
+
+def test_without_organisations_headers_are_forwarded_as_they_are() -> None:
+    # Guard against changed requests where no organisations are configured.
+    headers = (KEY_1, (b"Berylchute-Organisation", b"two"))
+    harness = _organisations_harness(OK, headers=headers)
+    harness.organisations = ()
+    assert _status(harness.run()) == 200
+    assert b"Authorization: Bearer k1" in harness.sent[0] and NAME + b"two" in harness.sent[0]
+
+
+def test_public_route_is_served_without_a_key() -> None:
+    # Guard against 401 on a public route, and an invalid key that is forwarded there.
+    harness = _organisations_harness(OK, headers=((b"Authorization", b"Bearer zz"),))
+    harness.route_changes = {"is_public": True}
+    assert _status(harness.run()) == 200
+    assert b"uthorization" not in harness.sent[0] and NAME not in harness.sent[0]
+
+
+def test_missing_route_precedes_a_missing_key() -> None:
+    # Guard against 401 for a path that has no route.
+    harness = _organisations_harness(headers=())
+    harness.route_changes = {"host": "elsewhere"}
+    assert _status(harness.run()) == 404
+
+
+def test_missing_configuration_is_no_missing_key() -> None:
+    # Guard against 401, after which callers don't return, before the configuration is known.
+    def forget(harness: _Harness) -> None:
+        harness.routes.table = None
+
+    harness = _organisations_harness(headers=())
+    answer = harness.run(prepare=forget)
+    assert _status(answer) == 503 and answer is not None
+    assert any(name == b"Retry-After" for name, _ in answer.headers)
+
+
+def test_retry_stays_in_the_home_regions() -> None:
+    # Guard against a retry in a region that the organisation does not allow.
+    harness = _organisations_harness(NotSent("x"), NOT_RUN, OK)
+    harness.zones = ["za", "zb"]  # the servers 0 and 2 are in ra, the home region
+    assert _status(harness.run()) == 503
+    servers = [sent.split(b"Expected-Server: ")[1].split(b"\r\n")[0] for sent in harness.sent]
+    assert sorted(servers) == [b"i-0", b"i-2"]
+
+
+def test_request_without_a_common_home_region_is_refused() -> None:
+    # Guard against a request outside of the regions of its route or of its organisation.
+    harness = _organisations_harness(OK)
+    harness.zones = ["za", "zb"]
+    harness.route_changes = {"home_regions": ("rb",)}
+    answer = harness.run()
+    assert _status(answer) == 503 and answer is not None and not harness.sent
+    assert any(name == b"Retry-After" for name, _ in answer.headers)
+    assert _refusals(harness) == ['berylchute_edge_refusals_total{reason="no_common_region"} 1.0']
+
+
+class _ConfiguringPool(_Pool):
+    """A pool that changes the configuration before each reply, or while it connects."""
+
+    def __init__(
+        self, harness: _Harness, change: Callable[[], None], *, is_connecting: bool
+    ) -> None:
+        super().__init__(harness)
+        self._change = change
+        self._is_connecting = is_connecting
+
+    async def exchange(self, request: UpstreamRequest) -> ServerAnswer:
+        if self._is_connecting:
+            self._change()
+            assert request.may_send is not None
+            if not request.may_send():
+                raise SendWithdrawn("x")
+            return await super().exchange(request)
+        try:
+            return await super().exchange(request)
+        finally:
+            self._change()
+
+
+def _change_configuration(
+    *organisations: Organisation, is_connecting: bool
+) -> Callable[[_Harness], None]:
+    """Return what prepares a harness for one change of the configuration at the first exchange."""
+
+    def prepare(harness: _Harness) -> None:
+        def change() -> None:
+            if harness.routes.table is not None and harness.routes.table.number == 1:
+                harness.configure(organisations)
+
+        for server in harness.all_servers:
+            pool = _ConfiguringPool(harness, change, is_connecting=is_connecting)
+            server.pool = pool  # type: ignore[assignment]
+
+    return prepare
+
+
+@pytest.mark.parametrize(
+    ("first", "status"),
+    [(NotSent("x"), 401), (AnswerLost("x"), 502), (NOT_RUN, 503), (FAILED, 500), (OK, 200)],
+)
+def test_removed_key_ends_a_request_before_its_next_send(first: Reply, status: int) -> None:
+    # Guard against a retry with a key that was removed after the first send; and against 401 for
+    # a request that may have run, or a lost answer to a request that was sent before.
+    harness = _organisations_harness(first, OK)
+    answer = harness.run(prepare=_change_configuration(TWO, is_connecting=False), timeout_s=1.5)
+    assert _status(answer) == status and len(harness.sent) == 1
+    if status in (401, 503):
+        assert _refusals(harness) == ['berylchute_edge_refusals_total{reason="key_removed"} 1.0']
+
+
+def test_removed_key_ends_a_request_that_waits_for_a_connection() -> None:
+    # Guard against a send with a key that was removed while a connection was opened.
+    harness = _organisations_harness(OK)
+    answer = harness.run(prepare=_change_configuration(TWO, is_connecting=True))
+    assert _status(answer) == 401 and not harness.sent
+    assert not any(server.failures for server in harness.all_servers)
+
+
+@pytest.mark.parametrize("is_connecting", [False, True])
+def test_moved_key_names_its_new_organisation_from_the_next_send_on(is_connecting: bool) -> None:
+    # Guard against a request in the name of an organisation to which the key no longer belongs.
+    moved = (organisation("one"), organisation("two", "k2", "k1"))
+    harness = _organisations_harness(*([OK] if is_connecting else [NotSent("x"), OK]))
+    prepare = _change_configuration(*moved, is_connecting=is_connecting)
+    assert _status(harness.run(prepare=prepare)) == 200
+    assert NAME + b"two\r\n" in harness.sent[-1]
+
+
+def test_withdrawn_send_uses_the_only_server_again() -> None:
+    # Guard against a refusal since the only server counts as tried although nothing was sent.
+    harness = _organisations_harness(OK)
+    harness.servers = 1
+    assert _status(harness.run(prepare=_change_configuration(ONE, is_connecting=True))) == 200
+
+
+def test_key_is_needed_from_the_next_send_on_when_organisations_are_configured() -> None:
+    # Guard against Authorization headers that are forwarded after a switch to organisations.
+    harness = _organisations_harness(NotSent("x"), OK)
+    harness.organisations = ()
+    prepare = _change_configuration(ONE, is_connecting=False)
+    assert _status(harness.run(prepare=prepare)) == 200
+    assert b"uthorization" in harness.sent[0]
+    assert b"uthorization" not in harness.sent[1] and NAME + b"one\r\n" in harness.sent[1]
+
+
+def test_key_is_not_forwarded_after_organisations_are_removed() -> None:
+    # Guard against a key at a server when the configuration loses its organisations meanwhile.
+    harness = _organisations_harness(NotSent("x"), OK)
+    assert _status(harness.run(prepare=_change_configuration(is_connecting=False))) == 200
+    assert not any(b"uthorization" in sent for sent in harness.sent)
+
+
+class _Permits:
+    """Permits that are given or refused by a list; each counts once."""
+
+    def __init__(self, *results: float | None) -> None:
+        self.results = list(results)
+        self.acquired: list[str] = []
+        self.released: list[str] = []
+        self.meanwhile: Callable[[], None] = lambda: None
+
+    async def acquire(self, active: ActiveRequest) -> float | None:
+        assert active.organisation is not None
+        self.acquired.append(active.organisation.name)
+        await anyio.sleep(0.01)
+        self.meanwhile()
+        return self.results.pop(0)
+
+    def release(self, organisation: Organisation) -> None:
+        self.released.append(organisation.name)
+
+
+def test_request_above_the_allotment_is_refused() -> None:
+    # Guard against a send without a permit, and a refusal without the time to return.
+    harness = _organisations_harness(OK)
+    harness.permits = permits = _Permits(0.25)
+    answer = harness.run()
+    assert _status(answer) == 429 and answer is not None and not harness.sent
+    assert (b"Retry-After", b"0.250") in answer.headers
+    assert not permits.released
+
+
+@pytest.mark.parametrize(
+    ("replies", "released"),
+    [((NotSent("x"), OK), []), ((AnswerLost("x"), OK), []), ((NotSent("x"),) * 4, ["one"])],
+)
+def test_permit_is_acquired_once_and_returned_if_unused(
+    replies: tuple[Reply, ...], released: list[str]
+) -> None:
+    # Guard against permits that are lost when nothing was sent, or used twice by retries.
+    harness = _organisations_harness(*replies)
+    harness.servers = 4
+    harness.permits = permits = _Permits(None)
+    harness.run()
+    assert permits.acquired == ["one"] and permits.released == released
+
+
+def test_permit_follows_a_key_to_its_new_organisation() -> None:
+    # Guard against the use of one organisation's permit by another one.
+    harness = _organisations_harness(OK)
+    harness.permits = permits = _Permits(None, None)
+    permits.meanwhile = lambda: harness.configure((organisation("two", "k1"),))
+    assert _status(harness.run()) == 200
+    assert permits.acquired[:2] == ["one", "two"] and permits.released == ["one"]
+    assert NAME + b"two\r\n" in harness.sent[0]
+
+
+def test_key_removed_while_a_request_waits_for_its_permit() -> None:
+    # Guard against a send with a key that was removed while the request waited.
+    harness = _organisations_harness(OK)
+    harness.permits = permits = _Permits(None)
+    permits.meanwhile = lambda: harness.configure((TWO,))
+    assert _status(harness.run()) == 401 and not harness.sent
+    assert permits.released == ["one"]
+
+
+@pytest.mark.parametrize("headers", [(KEY_1,), ((b"Authorization", b"Bearer wrongkey"),)])
+def test_log_names_organisations_and_holds_no_key(
+    headers: tuple[Header, ...], tmp_path: Path
+) -> None:
+    # Guard against keys in the event log, and events that don't say whose request it was.
+    harness = _organisations_harness(OK, headers=headers)
+    harness.log_path = str(tmp_path / "log")
+    harness.run()
+    harness.log.flush()
+    text = (tmp_path / "log").read_text()
+    name = "one" if headers == (KEY_1,) else ""
+    assert f'"organisation":"{name}"' in text.replace('": "', '":"')
+    assert "Bearer" not in text and "wrongkey" not in text and "k1" not in text
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -8,7 +8,7 @@
 import pytest
 
 from berylchute.bodymemory import BodyMemory
-from berylchute.exceptions import AnswerInvalid, AnswerLost, ExchangeError, NotSent
+from berylchute.exceptions import AnswerInvalid, AnswerLost, ExchangeError, NotSent, SendWithdrawn
 from berylchute.serverconnection import ServerConnection
 from berylchute.upstream import (
     SPARE_RETRY_DELAY_S,
@@ -457,3 +457,34 @@
         server.close()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("needs_new_connection", [False, True])
+def test_request_that_may_no_longer_be_sent_once_connected_is_withdrawn(
+    needs_new_connection: bool,
+) -> None:
+    """Guard against a send with a key that was removed while the connection was opened."""
+    received = bytearray()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        received.extend(await reader.read(100))
+        writer.close()
+
+    async def main() -> int:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        pool = ConnectionPool(f"{host}:{port}", ManualClock(), 4)
+        request = attrs.evolve(
+            REQUEST, may_send=lambda: False, needs_new_connection=needs_new_connection
+        )
+        with pytest.raises(SendWithdrawn):
+            await pool.exchange(request)
+        idle = len(pool._idle)
+        pool.close()
+        await asyncio.sleep(0.05)
+        server.close()
+        return idle
+
+    # The connection is kept for the next request.
+    assert asyncio.run(main()) == (0 if needs_new_connection else 1)
+    assert not received
