Test API keys at the edge program as a process

Cause: the tests of single parts do not show whether store, keys, routes and the headers for servers are connected.

Change: start_world can put further configurations into the store; wire.routes_document takes organisations and their keys.

--- a/soak/wire.py
+++ b/soak/wire.py
@@ -26,7 +26,9 @@
     "encode_watch",
     "expected_server",
     "find_header",
+    "has_api_key",
     "make_object",
+    "organisation",
     "parse_addresses",
     "response_headers",
     "routes_document",
@@ -101,8 +103,13 @@
     return spec, {"state": "draining" if is_draining else "ready", "seq": 1}
 
 
-def routes_document(version: int, service: str, services: Sequence[str]) -> Mapping[str, Any]:
-    """Return a configuration that routes all requests to `service`."""
+def routes_document(
+    version: int, service: str, services: Sequence[str], keys: Mapping[str, Sequence[str]] = {}
+) -> Mapping[str, Any]:
+    """Return a configuration that routes all requests to `service`.
+
+    `keys` maps organisations to their API keys; without any, callers need none.
+    """
     route = {
         "host": DOMAIN,
         "timeout-s": 2.0,
@@ -127,6 +134,7 @@
             "header-timeout-s": 3,
             "idle-timeout-s": 15,
         },
+        "tenants": [{"name": name, "api-keys": list(values)} for name, values in keys.items()],
     }
 
 
@@ -187,9 +195,13 @@
     return list(msgspec.json.decode(body)["addresses"])
 
 
-def caller_headers(request_id: str, deadline_ms: int, affinity_key: int) -> dict[str, str]:
+def caller_headers(
+    request_id: str, deadline_ms: int, affinity_key: int, api_key: str = ""
+) -> dict[str, str]:
     """Return the headers of a caller's request; `deadline_ms` is the time left for it."""
+    authorization = {"Authorization": f"Bearer {api_key}"} if api_key else {}
     return {
+        **authorization,
         "Host": DOMAIN,
         HEADER_NAMES.request_id.decode().title(): request_id,
         HEADER_NAMES.deadline_ms.decode().title(): str(deadline_ms),
@@ -207,6 +219,16 @@
     return find_header(request.headers, HEADER_NAMES.expected_server)
 
 
+def organisation(request: CallerRequest) -> str:
+    """Return the name of the organisation that a request names to its server; "" if none."""
+    return (find_header(request.headers, HEADER_NAMES.organisation) or b"").decode()
+
+
+def has_api_key(request: CallerRequest) -> bool:
+    """Return whether a request has the header of an API key."""
+    return find_header(request.headers, b"authorization") is not None
+
+
 def server_stamp(headers: Iterable[Header]) -> bytes | None:
     """Return the unique value that a server adds to its 200 responses, or None."""
     return find_header(headers, STAMP_HEADER)
--- a/tests/edgeprocess.py
+++ b/tests/edgeprocess.py
@@ -3,7 +3,7 @@
 import asyncio
 import os
 import sys
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine, Mapping, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
 from random import Random
@@ -32,6 +32,7 @@
     store_address: str
     memory_mb: float = 300.0
     startup_code: str = ""
+    store: StoreStandIn | None = None
     process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
@@ -55,6 +56,16 @@
                 },
             )
 
+    async def configure(
+        self, number: int, keys: Mapping[str, Sequence[str]], **changes: object
+    ) -> None:
+        """Put a configuration with organisations and their keys into the store."""
+        assert self.store is not None
+        routes = dict(wire.routes_document(number, "svc-0", ["svc-0"], keys))
+        routes["limits"] = {**routes["limits"], "max-body-bytes": BODY_BYTES_MAX}
+        routes["routes"] = [{**route, "timeout-s": 6.0, **changes} for route in routes["routes"]]
+        await self.store.put(*wire.ROUTES_KEY, routes)
+
     @property
     def log(self) -> Path:
         """Return the file with the output of the process."""
@@ -141,11 +152,10 @@
             "svc-0", address, "za", slots=99, started_ms=1, is_draining=False
         )
         await store.put(wire.SERVERS_COLLECTION, f"h-{number}", *document)
-    routes = dict(wire.routes_document(1, "svc-0", ["svc-0"]))
-    routes["limits"] = {**routes["limits"], "max-body-bytes": BODY_BYTES_MAX}
-    routes["routes"] = [{**route, "timeout-s": 6.0} for route in routes["routes"]]
-    await store.put(*wire.ROUTES_KEY, routes)
-    edge = EdgeProcess(folder, addresses, f"127.0.0.1:{store_port}", startup_code=startup_code)
+    edge = EdgeProcess(
+        folder, addresses, f"127.0.0.1:{store_port}", startup_code=startup_code, store=store
+    )
+    await edge.configure(1, {})
     try:
         yield edge, stand_ins
     finally:
