Send API keys in the soak, and remove some as a planned event

Cause: the soak did not exercise organisations.

Change: callers send a key of one of three organisations, a tenth of them a removed one; every 0.2 to 1.5 s a key is replaced. Servers record the organisation and whether they got a key. New violations: `organisation`, `removed`, `unauthorized`. A 401 does not count as a request to be served, since a wrong one is a violation of its own.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -65,8 +65,10 @@
 def _make_report(seed: int, records: Records) -> Report:
     violations = find_violations(records)
     answered = sum(request.status == 200 for request in records.requests)
-    if answered < ANSWERED_RATIO_MIN * max(1, len(records.requests)):
-        violations.append(f"served: {answered} of {len(records.requests)} requests succeeded")
+    # A wrong 401 is a violation of its own.
+    authorized = sum(request.status != 401 for request in records.requests)
+    if answered < ANSWERED_RATIO_MIN * max(1, authorized):
+        violations.append(f"served: {answered} of {authorized} requests succeeded")
     latencies_ms = sorted(
         1000.0 * (request.ended_s - request.sent_s)
         for request in records.requests
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,6 +7,7 @@
 import httpcore
 
 from soak import wire
+from soak.keys import KeyRing
 from soak.records import Records, Request
 from soak.standins import expected_body
 
@@ -24,12 +25,19 @@
     """
 
     def __init__(
-        self, name: str, directory_addresses: list[str], records: Records, rng: Random
+        self,
+        name: str,
+        directory_addresses: list[str],
+        records: Records,
+        rng: Random,
+        keys: KeyRing,
     ) -> None:
         self._name = name
         self._directory_addresses = directory_addresses
         self._records = records
         self._rng = rng
+        self._keys = keys
+        self._keys_rng = Random(name)  # keeps the other choices of a seed as they were
         self._pool = httpcore.AsyncConnectionPool(max_connections=4, keepalive_expiry=10.0)
         self._edge_names: dict[str, str] = {}
         self._request_count = 0
@@ -72,10 +80,12 @@
         request_id = f"{self._name}-{self._request_count}"
         is_post = self._rng.random() < POST_RATIO
         body = self._rng.randbytes(self._rng.choice((10, 300, 60_000))) if is_post else b""
-        headers = wire.caller_headers(request_id, REQUEST_DEADLINE_MS, self._rng.randrange(20))
+        key = self._keys.choose(self._keys_rng)
+        headers = wire.caller_headers(request_id, REQUEST_DEADLINE_MS, self._rng.randrange(20), key)
         record = Request(
             request_id, self._edge_names.get(address, address), not is_post, time.monotonic()
         )
+        record.api_key = key
         self._records.requests.append(record)
         path = "post" if is_post else "read"
         url = f"http://{address}/{path}/{self._request_count}"
--- a/soak/records.py
+++ b/soak/records.py
@@ -6,7 +6,16 @@
 
 import attrs
 
-__all__ = ["Disturbance", "Records", "Request", "Run", "StatedLimit", "find_violations"]
+__all__ = [
+    "CONFIG_DELAY_MAX_S",
+    "Disturbance",
+    "KeyPeriod",
+    "Records",
+    "Request",
+    "Run",
+    "StatedLimit",
+    "find_violations",
+]
 
 # Statuses which guarantee that no server has executed the request or will execute it.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -41,16 +50,22 @@
     status: int = 0
     problem: str = ""
     was_read: bool = True
+    api_key: str = ""
 
 
 @attrs.frozen
 class Run:
-    """The start of a request's execution by a server, at `at_s` of the monotonic clock."""
+    """The start of a request's execution by a server, at `at_s` of the monotonic clock.
+
+    `organisation` is the one that the server was told; `has_api_key` is true if it got a key.
+    """
 
     request_id: str
     server: str
     service: str
     at_s: float
+    organisation: str = ""
+    has_api_key: bool = False
 
 
 @attrs.frozen
@@ -77,6 +92,16 @@
     end_s: float
 
 
+@attrs.define
+class KeyPeriod:
+    """A key and the time in which the configuration holds it; the first ones start at 0."""
+
+    key: str
+    organisation: str
+    start_s: float
+    end_s: float | None = None
+
+
 @attrs.define
 class Records:
     """All records of one seed; encoded as `records.json`.
@@ -93,6 +118,7 @@
     routes: list[tuple[float, str]] = attrs.Factory(list)
     limits: list[StatedLimit] = attrs.Factory(list)
     own_ends: list[str] = attrs.Factory(list)
+    keys: list[KeyPeriod] = attrs.Factory(list)
 
     def has_no_unplanned_fault(self, start_s: float, end_s: float, scopes: Iterable[str]) -> bool:
         """Return whether no unplanned fault on the scopes could affect `start_s` to `end_s`.
@@ -148,6 +174,37 @@
     if is_response_lost and records.has_no_unplanned_fault(request.sent_s, request.ended_s, scopes):
         violations.append(f"lost: {label}: {request.problem}")
     violations += _check_service(records, request, runs)
+    return violations + _check_key(records, request, runs)
+
+
+def _check_key(records: Records, request: Request, runs: Sequence[Run]) -> list[str]:
+    """Check that servers know the organisation and get no key, and when a key is valid."""
+    period = next((period for period in records.keys if period.key == request.api_key), None)
+    if period is None:
+        return []
+    label = f"{request.request_id} at {request.edge}, sent {request.sent_s:.2f}"
+    scopes = (request.edge, "store")
+    violations = [
+        f"organisation: {label} ran for {run.organisation!r}, key: {run.has_api_key}"
+        for run in runs
+        if run.organisation != period.organisation or run.has_api_key
+    ]
+    delay_s = CONFIG_DELAY_MAX_S + SCHEDULING_SLACK_S
+    for run in runs:
+        if (
+            period.end_s is not None
+            and run.at_s > period.end_s + delay_s
+            and records.has_no_unplanned_fault(period.end_s, run.at_s, scopes)
+        ):
+            violations.append(f"removed: {label} ran {run.at_s - period.end_s:.2f} s after its key")
+    was_valid = period.end_s is None or request.ended_s < period.end_s
+    # The first keys are in all configurations until they are removed, so that nothing excuses 401.
+    was_known = period.start_s == 0.0 or (
+        request.sent_s > period.start_s + delay_s
+        and records.has_no_unplanned_fault(period.start_s, request.ended_s, scopes)
+    )
+    if request.status == 401 and (runs or (was_valid and was_known)):
+        violations.append(f"unauthorized: {label} got 401, ran {len(runs)} times")
     return violations
 
 
--- a/soak/standins.py
+++ b/soak/standins.py
@@ -244,7 +244,14 @@
             )
             pending.respond(CallerAnswer(503, headers))
             return
-        run = Run(request.request_id, self.name, self.service, time.monotonic())
+        run = Run(
+            request.request_id,
+            self.name,
+            self.service,
+            time.monotonic(),
+            wire.organisation(request),
+            wire.has_api_key(request),
+        )
         self.records.runs.append(run)
         self.in_flight += 1
         try:
--- a/tests/test_soak_records.py
+++ b/tests/test_soak_records.py
@@ -1,12 +1,16 @@
 """Check that the soak finds each kind of violation and accepts what the system may do."""
 
+from random import Random
+
 import pytest
 
+from soak.keys import KEY_LEAD_S, KeyRing
 from soak.records import (
     CONFIG_DELAY_MAX_S,
     DRAIN_LIMIT_S,
     SCHEDULING_SLACK_S,
     Disturbance,
+    KeyPeriod,
     Records,
     Request,
     Run,
@@ -112,3 +116,76 @@
         limits=[StatedLimit("i-1", 2.0, 9.5, 20.0)],
     )
     assert violation_kinds(soak_records) == kinds
+
+
+def _make_key_records(
+    key: KeyPeriod, *runs: Run, status: int = 200, sent_s: float = 10.0
+) -> Records:
+    soak_records = make_records(*runs, status=status, api_key=key.key, sent_s=sent_s)
+    soak_records.keys.append(key)
+    return soak_records
+
+
+def _run_for(organisation: str, *, at_s: float = 10.1, has_api_key: bool = False) -> Run:
+    return Run("q", "i-1", "s", at_s, organisation, has_api_key)
+
+
+REMOVED_S = 10.0 - CONFIG_DELAY_MAX_S - SCHEDULING_SLACK_S
+
+
+@pytest.mark.parametrize(
+    ("soak_records", "kinds"),
+    [
+        (_make_key_records(KeyPeriod("k", "one", 0.0), _run_for("one")), []),
+        (_make_key_records(KeyPeriod("k", "one", 0.0), _run_for("two")), ["organisation"]),
+        (_make_key_records(KeyPeriod("k", "one", 0.0), _run_for("")), ["organisation"]),
+        (
+            _make_key_records(KeyPeriod("k", "one", 0.0), _run_for("one", has_api_key=True)),
+            ["organisation"],
+        ),
+        # A removed key may be in force for some time on edges that have not heard of it.
+        (_make_key_records(KeyPeriod("k", "one", 0.0, REMOVED_S), _run_for("one")), ["removed"]),
+        (_make_key_records(KeyPeriod("k", "one", 0.0, REMOVED_S + 0.2), _run_for("one")), []),
+        (_make_key_records(KeyPeriod("k", "one", 0.0, 9.0), status=401), []),
+        (_make_key_records(KeyPeriod("k", "one", 0.0), status=401), ["unauthorized"]),
+        (
+            _make_key_records(KeyPeriod("k", "one", 0.0, 9.0), _run_for("one"), status=401),
+            ["unauthorized"],
+        ),
+        # So may a new one be unknown.
+        (_make_key_records(KeyPeriod("k", "one", REMOVED_S - 0.1), status=401), ["unauthorized"]),
+        (_make_key_records(KeyPeriod("k", "one", REMOVED_S + 0.1), status=401), []),
+    ],
+)
+def test_use_of_keys_is_checked(soak_records: Records, kinds: list[str]) -> None:
+    """Guard against a key check that misses a violation or reports what a change may cause."""
+    assert violation_kinds(soak_records) == kinds
+
+
+@pytest.mark.parametrize("scope", ["e1", "store"])
+def test_fault_excuses_a_late_removal_but_no_refusal_of_an_old_key(scope: str) -> None:
+    """Guard against false alarms while an edge is cut off, and against missed wrong refusals."""
+    late = _make_key_records(KeyPeriod("k", "one", 0.0, REMOVED_S), _run_for("one"))
+    late.disturbances.append(Disturbance(scope, "cut", 8.0, 9.0))
+    assert violation_kinds(late) == []
+    refused = _make_key_records(KeyPeriod("k", "one", 0.0), status=401)
+    refused.disturbances.append(Disturbance(scope, "cut", 8.0, 9.0))
+    assert violation_kinds(refused) == ["unauthorized"]
+
+
+def test_replaced_keys_are_known_before_they_are_used(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against callers of the soak whose keys no edge can know yet."""
+    now_s = 100.0
+    monkeypatch.setattr("soak.keys.time.monotonic", lambda: now_s)
+    soak_records = Records()
+    keys = KeyRing(soak_records, Random(1))
+    for _ in range(200):
+        keys.replace_key()
+        now_s += 0.5
+        assert all(len(valid) == 2 for valid in keys.valid().values())
+        for valid in keys.valid().values():
+            used = next(period for period in soak_records.keys if period.key == valid[0])
+            assert used.start_s == 0.0 or now_s - used.start_s > KEY_LEAD_S
+    assert len([period for period in soak_records.keys if period.end_s is not None]) > 20
+    chosen = {keys.choose(Random(seed)) for seed in range(300)}
+    assert chosen & {period.key for period in soak_records.keys if period.end_s is not None}
