--- a/berylchute/directory.py
+++ b/berylchute/directory.py
@@ -5,7 +5,7 @@
 from berylchute.messages import MemberRecord
 from berylchute.types import MemberState, MemberStatus
 
-__all__ = ["Directory"]
+__all__ = ["CAPACITY_RATIO_MIN", "Directory", "select_high_capacity"]
 
 # Addresses returned to a caller, so that one of them may fail. If the caller's zone has fewer
 # members, those of its region are added.
@@ -52,11 +52,12 @@
         if not nearest:
             nearest = [r for home in sorted(home_regions) for r in self._by_region.get(home, ())]
         return [
-            record.http_url.rpartition("/")[2] for record in _high_capacity(nearest or self._all)
+            record.http_url.rpartition("/")[2]
+            for record in select_high_capacity(nearest or self._all)
         ]
 
 
-def _high_capacity(records: Sequence[MemberRecord]) -> Sequence[MemberRecord]:
+def select_high_capacity(records: Sequence[MemberRecord]) -> Sequence[MemberRecord]:
     """Omit records of low capacity, but keep at least ADDRESSES_MIN if there are as many."""
     ordered = sorted(records, key=lambda record: record.capacity, reverse=True)
     bound = CAPACITY_RATIO_MIN * ordered[0].capacity if ordered else 0.0
--- a/berylchute/messages.py
+++ b/berylchute/messages.py
@@ -10,6 +10,8 @@
 from berylchute.exceptions import PeerError
 
 __all__ = [
+    "AllotmentGrant",
+    "AllotmentRequest",
     "Heartbeat",
     "LoanGrant",
     "LoanOffer",
@@ -173,6 +175,31 @@
     loan_id: str
 
 
+@attrs.frozen
+class AllotmentRequest:
+    """Request tokens of an organisation from the owner of its bucket.
+
+    The ids of a sender's requests increase; `incarnation` is the sender's.
+    """
+
+    organisation: str
+    count: int
+    request_id: int
+    sender: str
+    sender_address: str
+    incarnation: int
+
+
+@attrs.frozen
+class AllotmentGrant:
+    """Grant tokens for a request; with fewer than requested, `wait_ms` until the next one."""
+
+    organisation: str
+    request_id: int
+    granted: int
+    wait_ms: int
+
+
 Message: TypeAlias = (
     Heartbeat
     | MemberUpdate
@@ -184,6 +211,8 @@
     | LoanGrant
     | LoanReturn
     | LoanRecall
+    | AllotmentRequest
+    | AllotmentGrant
 )
 
 
@@ -208,6 +237,8 @@
         LoanGrant,
         LoanReturn,
         LoanRecall,
+        AllotmentRequest,
+        AllotmentGrant,
     )
 }
 _DECODERS = {name: msgspec.msgpack.Decoder(kind) for name, kind in _MESSAGE_TYPES.items()}
@@ -231,15 +262,20 @@
 _DEFLATED_SUFFIX = b"/1"
 _DEFLATE_LEVEL = 1  # higher levels take more CPU time than the saved bytes are worth
 _DECODED_BYTES_MAX = 2_000_000  # an object of 1 MB with room for its frame
+# Messages of some 100 bytes, sent while requests wait: deflate costs more time than it saves.
+_SMALL_TYPES = (AllotmentRequest, AllotmentGrant)
 
 
 def encode(message: Message) -> list[bytes]:
     """Return the frames of a message: its type name and its msgpack body.
 
-    The body is deflated, and the name marked with a suffix, if that makes it shorter.
+    The body is deflated, and the name marked with a suffix, if that makes it shorter; bodies of
+    small types are not.
     """
     name = type(message).__name__.encode()
     body = msgspec.msgpack.encode(message)
+    if isinstance(message, _SMALL_TYPES):
+        return [name, body]
     compressor = zlib.compressobj(
         level=_DEFLATE_LEVEL, wbits=-zlib.MAX_WBITS, zdict=_DEFLATE_DICTIONARY
     )
