--- a/berylchute/allotments/demand.py
+++ b/berylchute/allotments/demand.py
@@ -30,7 +30,7 @@
         """Return the tokens that this host should hold in advance, 0 without steady demand."""
         self._shift(now_s)
         steady_per_s = min(self._counts[1:]) / _SLOT_S
-        return math.ceil(steady_per_s * PREFETCH_S) if steady_per_s >= _STEADY_MIN_PER_S else 0
+        return int(steady_per_s * PREFETCH_S) if steady_per_s >= _STEADY_MIN_PER_S else 0
 
     def _shift(self, now_s: float) -> None:
         slot = math.floor(now_s / _SLOT_S)
--- a/berylchute/allotments/limits.py
+++ b/berylchute/allotments/limits.py
@@ -36,8 +36,10 @@
 UNCERTAIN_RATIO = 0.5
 # Longest Retry-After; longer ones exceed a third of the usual time budgets of callers.
 RETRY_AFTER_MAX_S = 2.0
-# The depth of a bucket is at least one request, and what accrues in the longest denial time.
+# The least depth of a bucket: what accrues in the longest denial time, and four requests. With a
+# depth of two, random arrivals at 1.5 times a rate of 2 a second use 0.87 of it, with four 0.98.
 _DEPTH_MIN_S = DENIAL_MAX_S
+_DEPTH_MIN = 4.0
 # An owner grants the whole rate for up to 3.1 s after it was cut off from other zones, since it
 # still counts their members as live. If two thirds of the weight are cut off, their shares add 2.07
 # s of the rate. These two numbers keep that within the tolerance of a window, of a tenth and 20
@@ -56,7 +58,7 @@
     @property
     def depth_min(self) -> float:
         """Return the least depth of a bucket that lets the whole rate be used."""
-        return max(1.0, _DEPTH_MIN_S * self.rate_per_s)
+        return max(_DEPTH_MIN, _DEPTH_MIN_S * self.rate_per_s)
 
     @property
     def depth(self) -> float:
--- a/berylchute/allotments/owner.py
+++ b/berylchute/allotments/owner.py
@@ -27,6 +27,9 @@
 # still, so others may have replaced it. Updates follow each other in 0.25 s, and members that are
 # silent for 1.6 s are suspect.
 PAUSE_MIN_S = 1.0
+# Unused tokens at hosts that are left out of account, so that the burst of a low rate isn't lost:
+# a window has a tolerance of 20 requests.
+_UNUSED_IGNORED = 3
 # Ids of a sender's requests are kept for this time to recognize repeated ones.
 _SENDER_KEPT_S = 10.0
 # More than a sender has under way at the same time.
@@ -168,7 +171,7 @@
     rate_per_s = limit.rate_per_s * part
     # Tokens granted a moment ago may still be unused at their hosts: they are a part of the burst,
     # so that a window never holds them beside a whole one.
-    unused = allotment.recently_granted(now_s)
+    unused = max(0, allotment.recently_granted(now_s) - _UNUSED_IGNORED)
     depth = max(1.0, part * limit.depth_min, part * limit.depth - unused)
     allotment.bucket.refill(rate_per_s, depth, now_s)
     return rate_per_s
