Refuse requests over their organisation's allotment with 429

Cause: the edge program read rate-per-s and burst of organisations and used neither.

Change: AllotmentPermits takes a token before a request's first send and returns it if nothing was sent; AllotmentMessages passes the messages of a node to the allotments. SendPermits.release gets the request instead of its organisation, since a returned token must keep its own expiry.

--- a/berylchute/allotments/service.py
+++ b/berylchute/allotments/service.py
@@ -73,6 +73,7 @@
         self._holder = AllotmentHolder(record.incarnation * _REQUEST_IDS_PER_MS)
         metrics.counts = self._holder.counts
         self._limits: Mapping[str, AllotmentLimit] = {}
+        self._members: Sequence[MemberStatus] = ()
         self._logged_at_s: dict[str, float] = {}
         self._denied: dict[str, int] = {}
         self._event_second = -math.inf
@@ -89,13 +90,15 @@
 
     def update_members(self, members: Sequence[MemberStatus]) -> None:
         """Take over the members, and drop the state of what is gone; call it periodically."""
-        self._shares.update(members)
+        self._members = members
         self._update_owned()
         for name in self._holder.waiting_names():
             self._send_asks(name)
 
     def _update_owned(self) -> None:
         now_s = self._clock.now_s()
+        if self._limits:
+            self._shares.update(self._members)
         self._owner.update(
             {n: limit for n, limit in self._limits.items() if self._shares.is_owner(n)},
             part=self._shares.live_part,
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-from collections import Counter
 from collections.abc import Callable, Sequence
 from random import Random
 
@@ -10,6 +9,7 @@
 from anyio.abc import TaskGroup
 
 from berylchute import __version__
+from berylchute.allotments import AllotmentMessages, AllotmentPermits
 from berylchute.assignments import ColdSenderSelector, should_watch_store
 from berylchute.backends import Backends
 from berylchute.background import BackgroundTasks
@@ -18,8 +18,9 @@
 from berylchute.collection import Collection, CollectionFeed, CollectionStore
 from berylchute.directory import Directory
 from berylchute.discovery import MemberDiscovery
-from berylchute.edgemetrics import EdgeMetrics, EdgeState
+from berylchute.edgemetrics import EdgeMetrics
 from berylchute.edgesettings import EdgeSettings
+from berylchute.edgestate import EdgeStateReader
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import ConfigError, ListenError, SettingsError, first_error
 from berylchute.membership import MembershipTiming
@@ -106,6 +107,10 @@
         self._background_tasks = BackgroundTasks()
         self._metrics = EdgeMetrics()
         self._region_sends = RegionSends(self._clock)
+        self._allotment_messages = AllotmentMessages(
+            self._node, self._discovery, self._log, self._metrics.allotments
+        )
+        self._allotments = self._allotment_messages.allotments
         self._feeds = [
             CollectionFeed(
                 collection,
@@ -134,7 +139,12 @@
             self._handler.refuse,
         )
         self._objects = ObjectApplier(
-            self._routes, self._backends, self._caller_server, self._clock, self._log
+            self._routes,
+            self._backends,
+            self._caller_server,
+            self._allotments,
+            self._clock,
+            self._log,
         )
         self._caller_servers = {settings.node.listen.http: self._caller_server}
         self._signalled = anyio.Event()
@@ -142,7 +152,17 @@
         self._is_stopping = False
         self._published_ready = False
         self._logged_members: Sequence[MemberStatus] = ()
-        self._metrics.read_state = self._read_state
+        self._metrics.read_state = EdgeStateReader(
+            node=self._node,
+            routes=self._routes,
+            backends=self._backends,
+            handler=self._handler,
+            objects=self._objects,
+            feeds=self._feeds,
+            probe=self._probe,
+            region_sends=self._region_sends,
+            log=self._log,
+        ).read
         if settings.metrics_address:
             self.listen(settings.metrics_address, self._answer_metrics)
 
@@ -164,6 +184,7 @@
             discovery=self._discovery,
             region_of_zone=lambda zone: self._settings.zone_regions.get(zone, ""),
             region_sends=self._region_sends,
+            permits=AllotmentPermits(self._allotments),
         )
 
     @property
@@ -234,6 +255,7 @@
         for feed in self._feeds:
             background_tasks.start_lasting(feed.run)
         background_tasks.start_lasting(self._probe.run)
+        background_tasks.start_lasting(self._allotment_messages.follow)
         # The callers' address is the last: a start that is given up has accepted no request.
         for address, server in reversed(self._caller_servers.items()):
             await server.start(address)
@@ -294,6 +316,7 @@
             self._directory.update(members)
             self._discovery.update(is_joined=self._node.is_joined)
             self._server_limits.update_members(members)
+            self._allotments.update_members(members)
             self._node.set_server_limits(self._server_limits.limits_to_report())
             self._backends.close_expired()
             self._backends.move_keys()
@@ -375,33 +398,3 @@
     def _answer_metrics(self, pending: PendingRequest) -> None:
         headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
         pending.respond(CallerAnswer(200, headers, self._metrics.render()))
-
-    def _read_state(self) -> EdgeState:
-        """Return the state for the metrics collector."""
-        table = self._routes.table
-        now_s = self._clock.now_s()
-        return EdgeState(
-            requests_in_flight=self._handler.in_flight,
-            routes_number=table.number if table else 0,
-            servers=len(self._backends),
-            limited_servers=self._backends.limited_count(),
-            members=Counter(status.state.value for status in self._node.members.list_members()),
-            store_silence_s=now_s - max(feed.last_success_s for feed in self._feeds),
-            object_ages_s={
-                key: now_s - updated_at_s
-                for key, updated_at_s in self._objects.updated_at_s.items()
-            },
-            store_calls={
-                **{feed.name: feed.calls for feed in self._feeds},
-                "probe": self._probe.calls,
-            },
-            store_failures={
-                **{feed.name: feed.failures for feed in self._feeds},
-                "probe": self._probe.failures,
-            },
-            region_sends=self._region_sends.counts,
-            connections_opened=self._backends.connections_opened(),
-            log_lines_dropped_full=self._log.lines_dropped_buffer_full,
-            log_lines_dropped_rate=self._log.lines_dropped_over_rate,
-            log_lines_dropped_unwritable=self._log.lines_dropped_unwritable,
-        )
--- a/berylchute/edgemetrics.py
+++ b/berylchute/edgemetrics.py
@@ -7,6 +7,7 @@
 from prometheus_client.metrics_core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
+from berylchute.allotments.metrics import AllotmentMetrics
 from berylchute.types import MemberState
 
 __all__ = ["EdgeMetrics", "EdgeState"]
@@ -187,6 +188,7 @@
             buckets=_BUCKETS_S,
             registry=self.registry,
         )
+        self.allotments = AllotmentMetrics(self.registry)
         # Caches of metrics by label values: a lookup by labels takes longer than counting.
         self._request_counters: dict[tuple[str, str], Counter] = {}
         self._request_histograms: dict[tuple[str, str, str], Histogram] = {}
--- a/berylchute/objectapplier.py
+++ b/berylchute/objectapplier.py
@@ -1,5 +1,6 @@
 """Apply shared objects to the parts of the edge program that use them."""
 
+from berylchute.allotments import Allotments
 from berylchute.backends import Backends
 from berylchute.callers import CallerServer
 from berylchute.eventlog import EventLog
@@ -21,12 +22,14 @@
         routes: RouteIndex,
         backends: Backends,
         caller_server: CallerServer,
+        allotments: Allotments,
         clock: Clock,
         log: EventLog,
     ) -> None:
         self._routes = routes
         self._backends = backends
         self._caller_server = caller_server
+        self._allotments = allotments
         self._clock = clock
         self._log = log
         self.updated_at_s: dict[str, float] = {}
@@ -40,6 +43,7 @@
             if newer:
                 self._backends.configure(value)
                 self._caller_server.limits = value.limits
+                self._allotments.configure(value.organisations)
             self._log.event(
                 "routes",
                 number=value.number,
--- a/berylchute/sendchecks.py
+++ b/berylchute/sendchecks.py
@@ -7,7 +7,7 @@
 from berylchute.organisations import Identity, UnauthorizedReason, identify_request
 from berylchute.requestends import RequestEnds
 from berylchute.routeindex import RouteIndex
-from berylchute.sharedobjects import Organisation, Route
+from berylchute.sharedobjects import Route
 
 __all__ = ["SendChecks", "SendPermits"]
 
@@ -23,10 +23,10 @@
         """
         ...
 
-    def release(self, organisation: Organisation) -> None:
-        """Return a permit of a request that was not sent to any server.
+    def release(self, active: ActiveRequest) -> None:
+        """Return the permit of a request that was not sent to any server.
 
-        `organisation` is the one that it was acquired for.
+        `active.permit_of` is the organisation that it was acquired for.
         """
         ...
 
@@ -91,7 +91,7 @@
         """Return the permit of a request that was never sent, if it has one."""
         if self._permits is None or active.permit_of is None or not active.was_never_sent:
             return
-        self._permits.release(active.permit_of)
+        self._permits.release(active)
         active.permit_of = None
 
     def _renew_identity(self, active: ActiveRequest) -> bool:
--- a/tests/test_requesthandler.py
+++ b/tests/test_requesthandler.py
@@ -680,8 +680,9 @@
         self.meanwhile()
         return self.results.pop(0)
 
-    def release(self, organisation: Organisation) -> None:
-        self.released.append(organisation.name)
+    def release(self, active: ActiveRequest) -> None:
+        assert active.permit_of is not None
+        self.released.append(active.permit_of.name)
 
 
 def test_request_above_the_allotment_is_refused() -> None:
