--- a/tests/allotmentfleet.py
+++ b/tests/allotmentfleet.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from berylchute.allotments import AllotmentMetrics, Allotments, MemberShares
+from berylchute.allotments import Allotments, MemberShares
 from berylchute.allotments.limits import RETRY_AFTER_MAX_S
 from berylchute.discovery import MemberDiscovery
 from berylchute.edgemetrics import EdgeMetrics
@@ -67,7 +67,7 @@
         self.statuses: tuple[MemberStatus, ...] = ()
         self.discovery = MemberDiscovery(fleet.clock, ZONE_REGIONS)
         self.shares = MemberShares(name, self.discovery)
-        metrics = AllotmentMetrics(EdgeMetrics().registry)
+        metrics = EdgeMetrics().allotments
         self.allotments = Allotments(
             self.record,
             self.shares,
