--- /dev/null
+++ b/berylchute/priorities/parameters.py
@@ -0,0 +1,40 @@
+"""Define the parameters of admission by rank.
+
+Handles load: see `admission`.
+"""
+
+import attrs
+
+__all__ = ["AdmissionParameters"]
+
+
+@attrs.frozen
+class AdmissionParameters:
+    """Parameters of shortage detection, reserves, guarantees and fair shares.
+
+    A service is short of room from the ratio `enter_ratio` of selections without room in the last
+    `shortage_window_s`, and at least `enter_count` of them, until the ratio is `leave_ratio` or
+    less. Counts of demand and served requests fall to 1/e within `demand_window_s`.
+
+    `floor_ratio` is the lowest ratio of load to slots from which a server is full. At 1.0 a reserve
+    leaves no slot idle: it consists of places in the servers' queues. The depth of a reserve, 1 at
+    the floor, is `reserve_min` plus `reserve_gain` times the share of the served requests that more
+    urgent ranks demand. It ends over `release_s`.
+
+    Ranks and organisations that are served less than `guaranteed_ratio` as often as all are exempt
+    from reserves; it is above the quarter that is required, since the counts lag. An organisation
+    whose demand exceeds its fair share by the factor `excess_factor` is refused first.
+    """
+
+    shortage_window_s: float = 1.0
+    demand_window_s: float = 2.0
+    enter_ratio: float = 0.25
+    enter_count: int = 2
+    leave_ratio: float = 0.15
+    floor_ratio: float = 1.0
+    reserve_min: float = 0.3
+    reserve_gain: float = 2.0
+    release_s: float = 0.5
+    guaranteed_ratio: float = 0.35
+    excess_factor: float = 1.3
+    update_interval_s: float = 0.1
--- /dev/null
+++ b/berylchute/priorities/returnschedule.py
@@ -0,0 +1,86 @@
+"""Schedule when refused callers return, and recognise those that keep to it.
+
+Handles load: a crowd that is refused at once and would return as a second wave.
+"""
+
+import math
+from collections import OrderedDict
+from random import Random
+
+from berylchute.retryafter import DELAY_RATIO_RANGE
+
+__all__ = ["ReturnSchedule"]
+
+# Returns are counted by intervals of this length.
+INTERVAL_S = 0.05
+# Times that are considered for one return, evenly in its range.
+TIMES_CONSIDERED = 6
+# Part of the range of delays that is closed to a rank at its end of the range: the latest times to
+# the most urgent rank, the earliest ones to the least urgent rank.
+CLOSED_PART = 0.3
+# Clocks and connections may let a caller that keeps to its time arrive this much earlier.
+EARLY_TOLERANCE_S = 0.02
+# Scheduled callers that are remembered; a caller that was forgotten is judged by its remaining time
+# only.
+CALLERS_MAX = 4096
+
+
+class ReturnSchedule:
+    """The scheduled returns of one service's refused callers to all hosts."""
+
+    def __init__(self) -> None:
+        self._counts: dict[int, int] = {}
+        self._due_s: OrderedDict[str, float] = OrderedDict()
+
+    def schedule(
+        self,
+        request_id: str,
+        remaining_s: float,
+        rate_per_s: float,
+        position: float | None,
+        now_s: float,
+        rng: Random,
+        *,
+        earliest_s: float = 0.0,
+    ) -> float:
+        """Return the delay after which a refused caller should return, at least `earliest_s`.
+
+        `rate_per_s` is the expected rate of room for returns. `position` is 0 for the most urgent
+        rank, 1 for the least urgent one and None if there is only one. The first time with room is
+        taken, else the one with the fewest returns.
+        """
+        self._discard_past(now_s)
+        first, last = DELAY_RATIO_RANGE
+        width_s = (last - first) * remaining_s
+        start, end = 0.0, 1.0
+        if position is not None:
+            start, end = CLOSED_PART * position, 1.0 - CLOSED_PART * (1.0 - position)
+        start_s = max(earliest_s, first * remaining_s + start * width_s)
+        step_s = (end - start) * width_s / TIMES_CONSIDERED
+        times_s = [
+            now_s + start_s + step_s * (number + rng.random()) for number in range(TIMES_CONSIDERED)
+        ]
+        room = rate_per_s * INTERVAL_S
+        counts = [self._counts.get(int(time_s / INTERVAL_S), 0) for time_s in times_s]
+        chosen = next(
+            (index for index, count in enumerate(counts) if count + 1 <= room),
+            min(range(TIMES_CONSIDERED), key=lambda index: counts[index]),
+        )
+        due_s = times_s[chosen]
+        interval = int(due_s / INTERVAL_S)
+        self._counts[interval] = self._counts.get(interval, 0) + 1
+        if request_id:
+            self._due_s[request_id] = due_s
+            self._due_s.move_to_end(request_id)
+            if len(self._due_s) > CALLERS_MAX:
+                self._due_s.popitem(last=False)
+        return due_s - now_s
+
+    def is_early(self, request_id: str, now_s: float) -> bool:
+        """Return whether a request repeats a refused one before its scheduled time."""
+        return now_s < self._due_s.get(request_id, -math.inf) - EARLY_TOLERANCE_S
+
+    def _discard_past(self, now_s: float) -> None:
+        current = int(now_s / INTERVAL_S)
+        for interval in [interval for interval in self._counts if interval < current]:
+            del self._counts[interval]
--- a/berylchute/selection.py
+++ b/berylchute/selection.py
@@ -90,6 +90,7 @@
         now_s: float,
         *,
         is_return: bool = False,
+        full_ratio: float | None = None,
     ) -> Selection:
         """Return the first of a key's preferred servers that is not full.
 
@@ -97,10 +98,12 @@
         no further request of this member for now are skipped. A server that is likely to exceed the
         latency objective `goal_s` is selected only if the other preferred one is too loaded to
         substitute for it. A caller that returns after a refusal (`is_return`) may be sent to a
-        server with a longer queue.
+        server with a longer queue. `full_ratio` replaces the ratio of requests to slots from which
+        a server is full.
         """
         preference = self._backends.preference(service, key, is_upload=is_upload)
-        full_ratio = RETURN_FULL_LOAD_RATIO if is_return else FULL_LOAD_RATIO
+        if full_ratio is None:
+            full_ratio = RETURN_FULL_LOAD_RATIO if is_return else FULL_LOAD_RATIO
         candidates = Candidates(
             preference,
             lambda server: self._unusable_reason(server, is_allowed_zone, tried_ids, now_s),
