Apply admission by rank to requests where it is enabled

Cause: the pure decisions of berylchute/priorities were not used.

Change: the request handler asks Ranks for the ratio from which a server is full, reports the result of the first selection, and takes the return time of refused callers from it. A repeat before its scheduled time doesn't count as a return. EdgeSettings.admission_by_rank enables it; the platform's settings set it if their contracts contain quota. Otherwise EqualRanks keeps the former selection and random delays. Two metrics and the event reserve show reserves and refusals by rank.

--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -22,8 +22,10 @@
 from berylchute.edgesettings import EdgeSettings
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import ConfigError, ListenError, SettingsError, first_error
+from berylchute.memberlog import MemberLog
 from berylchute.membership import MembershipTiming
 from berylchute.node import BootClock, Node
+from berylchute.priorities import make_ranks
 from berylchute.processsignals import ProcessSignals
 from berylchute.regionsends import RegionSends
 from berylchute.requesthandler import RequestHandler
@@ -36,7 +38,7 @@
 from berylchute.spillshare import SpillLimiter
 from berylchute.stoptimes import StopTimes
 from berylchute.storecontact import StoreContact, StoreProbe
-from berylchute.types import MemberStatus, StoredObject
+from berylchute.types import StoredObject
 
 __all__ = ["Edge", "EdgeSettings"]
 
@@ -138,7 +140,7 @@
         self._is_stopping = False
         self._published_ready = False
         self._updated_at_s: dict[str, float] = {}
-        self._logged_members: Sequence[MemberStatus] = ()
+        self._member_log = MemberLog(self._log)
         self._metrics.read_state = self._read_state
         if settings.metrics_address:
             self.listen(settings.metrics_address, self._answer_metrics)
@@ -161,6 +163,13 @@
             discovery=self._discovery,
             region_of_zone=lambda zone: self._settings.zone_regions.get(zone, ""),
             region_sends=self._region_sends,
+            ranks=make_ranks(
+                is_enabled=self._settings.admission_by_rank,
+                clock=self._clock,
+                rng=self._rng,
+                log=self._log,
+                metrics=self._metrics,
+            ),
         )
 
     @property
@@ -181,7 +190,7 @@
     @property
     def retry_bounds(self) -> RetryBounds:
         """Return the current bounds of retries, as of the last reload."""
-        return self._handler.retry_bounds
+        return self._handler.retry_budgets.bounds
 
     def home_regions(self, host: str) -> frozenset[str]:
         """Return the home regions of a host name's routes; empty if none is bound to regions."""
@@ -309,7 +318,7 @@
         is_watching = False
         while True:
             members = self._node.members.list_members()
-            self._log_members(members)
+            self._member_log.log_changes(members)
             self._directory.update(members)
             self._discovery.update(is_joined=self._node.is_joined)
             self._server_limits.update_members(members)
@@ -336,15 +345,6 @@
             self._node.set_ready(self._published_ready)
             self._log.event("ready", ready=self._published_ready)
 
-    def _log_members(self, members: Sequence[MemberStatus]) -> None:
-        if members is self._logged_members:
-            return
-        before = {status.record.host_id: status.state for status in self._logged_members}
-        self._logged_members = members
-        for status in members:
-            if before.get(status.record.host_id) is not status.state:
-                self._log.event("member", member=status.record.host_id, state=status.state)
-
     async def _flush_forever(self) -> None:
         while True:
             await anyio.sleep(LOG_FLUSH_S)
@@ -358,7 +358,7 @@
             self._log.event("reload_failed", reason=str(error))
             return
         before, self._settings = self._settings, settings
-        self._handler.retry_bounds = settings.retry_bounds
+        self._handler.retry_budgets.bounds = settings.retry_bounds
         self._log.event(
             "reload",
             changed=settings != before,
--- a/berylchute/edgemetrics.py
+++ b/berylchute/edgemetrics.py
@@ -43,8 +43,13 @@
 class _StateCollector(Collector):
     """Read the state of the edge program at each collection."""
 
-    def __init__(self, read: Callable[[], EdgeState]) -> None:
+    def __init__(
+        self,
+        read: Callable[[], EdgeState],
+        read_ratios: Callable[[], Mapping[str, Mapping[int, float]]],
+    ) -> None:
         self._read = read
+        self._read_ratios = read_ratios
 
     def collect(self) -> Iterable[Metric]:
         """Return gauges of the current state, and counters kept by other objects."""
@@ -71,7 +76,16 @@
         )
         for key, age_s in state.object_ages_s.items():
             ages.add_metric([key], age_s)
-        return [members, dropped, ages, *_gauges(state), *_counters(state)]
+        ratios = GaugeMetricFamily(
+            "berylchute_edge_full_load_ratio",
+            "Ratio of load to slots from which a server is full for new callers, by rank.",
+            None,
+            ("service", "rank"),
+        )
+        for service, by_rank in self._read_ratios().items():
+            for rank, ratio in by_rank.items():
+                ratios.add_metric([service, str(rank)], ratio)
+        return [members, dropped, ages, ratios, *_gauges(state), *_counters(state)]
 
 
 def _gauges(state: EdgeState) -> list[Metric]:
@@ -140,13 +154,17 @@
 class EdgeMetrics:
     """The metrics of one process, in their own registry.
 
-    `read_state` is called at each collection and may be replaced.
+    `read_state` and `read_full_ratios`, by service and rank, are called at each collection and may
+    be replaced.
     """
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
         self.read_state: Callable[[], EdgeState] = EdgeState
-        self.registry.register(_StateCollector(lambda: self.read_state()))
+        self.read_full_ratios: Callable[[], Mapping[str, Mapping[int, float]]] = dict
+        self.registry.register(
+            _StateCollector(lambda: self.read_state(), lambda: self.read_full_ratios())
+        )
         self._requests = Counter(
             "berylchute_edge_requests_total",
             "Finished requests by service and outcome.",
@@ -159,6 +177,12 @@
             ("reason",),
             registry=self.registry,
         )
+        self._rank_refusals = Counter(
+            "berylchute_edge_rank_refusals_total",
+            "Refused requests by rank and reason, if the rank decides who is served.",
+            ("rank", "reason"),
+            registry=self.registry,
+        )
         self.retries = Counter(
             "berylchute_edge_retries_total",
             "Repeated sends by the reason of the repeat.",
@@ -220,6 +244,10 @@
         if reason and outcome != "answered":
             self._refusals.labels(reason.partition(",")[0]).inc()
 
+    def record_rank_refusal(self, rank: int, reason: str) -> None:
+        """Count a refused request; only the part of `reason` before a comma becomes a label."""
+        self._rank_refusals.labels(str(rank), reason.partition(",")[0]).inc()
+
     def render(self) -> bytes:
         """Encode all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/berylchute/edgesettings.py
+++ b/berylchute/edgesettings.py
@@ -18,7 +18,9 @@
 
     `zone_regions` maps availability zones to regions. `grace_s` is the time from the stop signal
     to the kill, `change_apply_s` the time from the store's acknowledgement of a change until all
-    members must follow it. `metrics_address` is `ip:port`; metrics are not served if it is empty.
+    members must follow it. `admission_by_rank` lets the rank of requests decide which are served
+    while servers are short of room. `metrics_address` is `ip:port`; metrics are not served if it is
+    empty.
     """
 
     node: Settings
@@ -28,3 +30,4 @@
     metrics_address: str = ""
     header_names: HeaderNames = HeaderNames()
     change_apply_s: float = CHANGE_APPLY_DEFAULT_S
+    admission_by_rank: bool = False
--- a/berylchute/requesthandler.py
+++ b/berylchute/requesthandler.py
@@ -22,9 +22,15 @@
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import AnswerDropped, ExchangeError, NotSent
 from berylchute.headernames import HeaderNames
+from berylchute.priorities import EqualRanks, Ranks
 from berylchute.regionsends import RegionSends
-from berylchute.retryafter import STARTING_RETRY_AFTER_S, choose_delay_s, make_retry_after
-from berylchute.retrybudget import RetryBounds, RetryBudget
+from berylchute.retryafter import (
+    STARTING_RETRY_AFTER_S,
+    choose_delay_s,
+    make_retry_after,
+    remaining_time_s,
+)
+from berylchute.retrybudget import RetryBounds, RetryBudgets
 from berylchute.returns import ReturnDetector
 from berylchute.routeindex import RouteIndex
 from berylchute.selection import Selection, Selector
@@ -39,8 +45,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Remaining time assumed for callers that send no deadline: the usual timeout of HTTP clients.
-TIME_LEFT_DEFAULT_S = 30.0
 # Unreachable servers skipped for one request. Each may take CONNECT_TIMEOUT_S, and all of them
 # together most of a usual time budget of 1.5 s.
 NOT_SENT_MAX = 3
@@ -69,6 +73,7 @@
         discovery: MemberDiscovery,
         region_of_zone: Callable[[str], str],
         region_sends: RegionSends,
+        ranks: Ranks | None = None,
     ) -> None:
         self._header_names = header_names
         self._routes = routes
@@ -80,12 +85,11 @@
         self._log = log
         self._tracker = ServerTracker(backends, header_names, clock, log)
         self._metrics = metrics
-        self.retry_bounds = retry_bounds
+        self.retry_budgets = RetryBudgets(retry_bounds, discovery)
         self._member_count = member_count
         self._region_of_zone = region_of_zone
         self._region_sends = region_sends
-        self._discovery = discovery
-        self._retry_budgets: dict[str, RetryBudget] = {}
+        self._ranks = ranks or EqualRanks(rng)
         self._returns = ReturnDetector()
         self._scopes: set[anyio.CancelScope] = set()
         self.stop_times = StopTimes()
@@ -110,9 +114,7 @@
         if route is None:
             self._end(pending, None, Outcome.NO_ROUTE, CallerAnswer(404))
             return
-        remaining_s = TIME_LEFT_DEFAULT_S
-        if request.time_left_ms is not None:
-            remaining_s = request.time_left_ms / 1000.0
+        remaining_s = remaining_time_s(request.time_left_ms)
         active = ActiveRequest(
             pending=pending,
             request=request,
@@ -122,15 +124,15 @@
             deadline_s=request.received_s + min(remaining_s, route.timeout_s),
             is_return=self._returns.is_return(route.name, request.time_left_ms, request.received_s),
         )
-        self._retry_budget(active.service).record_request(self._clock.now_s())
+        if self._ranks.is_early(active.service, request.request_id):
+            active.is_return = False
+        self.retry_budgets.of_service(active.service).record_request(self._clock.now_s())
         self._background_tasks.start_isolated(self._run_attempts, active)
 
     def refuse(self, pending: PendingRequest) -> None:
         """Refuse a request whose body can't be held; it was not sent to any server."""
-        remaining_s = TIME_LEFT_DEFAULT_S
-        if pending.request.time_left_ms is not None:
-            remaining_s = pending.request.time_left_ms / 1000.0
-        headers = (make_retry_after(choose_delay_s(remaining_s, self._rng)),)
+        delay_s = choose_delay_s(remaining_time_s(pending.request.time_left_ms), self._rng)
+        headers = (make_retry_after(delay_s),)
         self._end(pending, None, Outcome.NO_MEMORY, CallerAnswer(503, headers))
 
     async def _run_attempts(self, active: ActiveRequest) -> None:
@@ -172,6 +174,7 @@
 
     def prepare_connections(self) -> None:
         """Open connections to distant servers that have none, if requests are in flight."""
+        self._ranks.update()
         self._backends.update_connect_times()
         if self.in_flight:
             for server in self._backends.unconnected_servers():
@@ -179,7 +182,7 @@
                     self._background_tasks.start_isolated(server.pool.open_spare_connection)
 
     def _select_server(self, active: ActiveRequest, now_s: float) -> Selection:
-        return self._selector.select(
+        selection = self._selector.select(
             active.service,
             active.key,
             active.route.goal_s,
@@ -188,7 +191,10 @@
             active.tried_ids,
             now_s,
             is_return=active.is_return,
+            full_ratio=self._ranks.full_ratio(active),
         )
+        self._ranks.record_selection(active, selection)
+        return selection
 
     async def _send_attempt(self, active: ActiveRequest) -> bool:
         """Send the request to one server; return whether the request has ended."""
@@ -200,9 +206,10 @@
         selection = self._select_server(active, now_s)
         server = selection.server
         if server is None:
-            self._refuse(active, selection)
+            active.reason = active.reason or str(selection.no_server_reason)
+            self._end_unanswered(active, selection)
             return True
-        if active.send_count and not self._retry_budget(active.service).acquire(
+        if active.send_count and not self.retry_budgets.of_service(active.service).acquire(
             self._member_count(), now_s, is_return=active.is_return
         ):
             active.reason = f"{active.reason}, no retry budget"
@@ -309,16 +316,12 @@
             active.route.kind.is_idempotent
             and active.send_count < active.route.attempts_max
             and active.deadline_s - now_s > active.route.goal_s
-            and self._retry_budget(active.service).remaining(
+            and self.retry_budgets.of_service(active.service).remaining(
                 self._member_count(), now_s, is_return=active.is_return
             )
             >= 1.0
         )
 
-    def _refuse(self, active: ActiveRequest, selection: Selection) -> None:
-        active.reason = active.reason or str(selection.no_server_reason)
-        self._end_unanswered(active, selection)
-
     def _end_unanswered(self, active: ActiveRequest, selection: Selection | None = None) -> None:
         """End a request whose last attempt got no answer that can be forwarded.
 
@@ -330,13 +333,10 @@
         if active.may_have_run:
             self._end(active.pending, active, Outcome.ANSWER_LOST, CallerAnswer(502), selection)
             return
-        remaining_s = TIME_LEFT_DEFAULT_S
-        if active.request.time_left_ms is not None:
-            elapsed_s = self._clock.now_s() - active.request.received_s
-            remaining_s = max(0.0, active.request.time_left_ms / 1000.0 - elapsed_s)
+        elapsed_s = self._clock.now_s() - active.request.received_s
+        remaining_s = remaining_time_s(active.request.time_left_ms, elapsed_s)
         earliest_s = selection.retry_after_s if selection else 0.0
-        delay_s = choose_delay_s(remaining_s, self._rng, earliest_s=earliest_s)
-        headers = (make_retry_after(delay_s),)
+        headers = (make_retry_after(self._ranks.refuse(active, remaining_s, earliest_s)),)
         self._end(active.pending, active, Outcome.REFUSED, CallerAnswer(503, headers), selection)
 
     def _end(
@@ -387,7 +387,7 @@
         """Return the service's remaining retry budget, None without a failure or refusal."""
         if active is None or not active.reason:
             return None
-        remaining = self._retry_budget(active.service).remaining(
+        remaining = self.retry_budgets.of_service(active.service).remaining(
             self._member_count(), self._clock.now_s()
         )
         return round(remaining, 1)
@@ -396,10 +396,3 @@
         if not route.home_regions:
             return True
         return self._region_of_zone(availability_zone) in route.home_regions
-
-    def _retry_budget(self, service: str) -> RetryBudget:
-        budget = self._retry_budgets.get(service)
-        if budget is None:
-            budget = self._retry_budgets[service] = RetryBudget(self.retry_bounds, self._discovery)
-        budget.bounds = self.retry_bounds
-        return budget
--- a/berylchute/retryafter.py
+++ b/berylchute/retryafter.py
@@ -4,15 +4,24 @@
 
 from berylchute.callers import Header
 
-__all__ = ["STARTING_RETRY_AFTER_S", "choose_delay_s", "make_retry_after"]
+__all__ = ["STARTING_RETRY_AFTER_S", "choose_delay_s", "make_retry_after", "remaining_time_s"]
 
 # Retry-After while no configuration is known: a few round trips to a store across a continent.
 STARTING_RETRY_AFTER_S = 0.3
+# Remaining time assumed for callers that send no deadline: the usual timeout of HTTP clients.
+TIME_LEFT_DEFAULT_S = 30.0
 # Range of the delay as a ratio of the caller's remaining time. Callers wait at most a third of it,
 # and shorter delays bring no gain (docs/MEASUREMENTS.md).
 DELAY_RATIO_RANGE = (0.2, 0.33)
 
 
+def remaining_time_s(time_left_ms: float | None, elapsed_s: float = 0.0) -> float:
+    """Return the time that a caller still waits, `elapsed_s` after its request arrived."""
+    if time_left_ms is None:
+        return TIME_LEFT_DEFAULT_S
+    return max(0.0, time_left_ms / 1000.0 - elapsed_s)
+
+
 def choose_delay_s(remaining_s: float, rng: Random, *, earliest_s: float = 0.0) -> float:
     """Return the time after which a refused caller should return, at least `earliest_s`.
 
--- a/berylchute/retrybudget.py
+++ b/berylchute/retrybudget.py
@@ -6,7 +6,7 @@
 
 from berylchute.discovery import MemberDiscovery
 
-__all__ = ["RetryBounds", "RetryBudget"]
+__all__ = ["RetryBounds", "RetryBudget", "RetryBudgets"]
 
 # Ratio of the budget that is used. The budget may be checked over other windows than the last one:
 # they begin up to a quarter of a window earlier or later, and may hold only this ratio of its
@@ -70,3 +70,20 @@
         for times in (self._requests, self._retries):
             while times and times[0] < oldest_s:
                 times.popleft()
+
+
+class RetryBudgets:
+    """The retry budgets of all services; `bounds` may be replaced at any time."""
+
+    def __init__(self, bounds: RetryBounds, discovery: MemberDiscovery) -> None:
+        self.bounds = bounds
+        self._discovery = discovery
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def of_service(self, service: str) -> RetryBudget:
+        """Return the budget of a service with the current bounds."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget(self.bounds, self._discovery)
+        budget.bounds = self.bounds
+        return budget
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -64,6 +64,15 @@
     assert load(_file(tmp_path, text)).edge.change_apply_s == change_apply_s
 
 
+@pytest.mark.parametrize(
+    "line, is_enabled",
+    [("", False), ("contracts=base,quota,platform\n", True), ("contracts=base,quotas\n", False)],
+)
+def test_ranks_count_under_their_contract_only(line: str, is_enabled: bool, tmp_path: Path) -> None:
+    # Guard against reserves in an installation without the contract, and none in one with it.
+    assert load(_file(tmp_path, TEXT + line)).edge.admission_by_rank is is_enabled
+
+
 def test_all_invalid_fields_are_listed(tmp_path: Path) -> None:
     # Guard against a settings error that names only the first of several invalid fields.
     text = TEXT.replace("zone=xela-a\n", "", 1).replace("10.200.1.7:8541", "nowhere")
--- a/tests/test_requesthandler.py
+++ b/tests/test_requesthandler.py
@@ -22,6 +22,7 @@
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import AnswerInvalid, AnswerLost, NotSent
 from berylchute.headernames import HeaderNames
+from berylchute.priorities import Ranks
 from berylchute.regionsends import RegionSends
 from berylchute.requesthandler import RequestHandler
 from berylchute.retrybudget import RetryBounds
@@ -100,6 +101,7 @@
         self.retry_ratio = 10.0
         self.warmup_s = 0.0
         self.reply_delay_s = 0.0
+        self.ranks: Ranks | None = None
 
     def run(
         self,
@@ -180,6 +182,7 @@
             discovery=discovery,
             region_of_zone=lambda _: "ra",
             region_sends=RegionSends(clock),
+            ranks=self.ranks,
         )
 
     @property
--- /dev/null
+++ b/tests/test_requestranks.py
@@ -0,0 +1,121 @@
+"""Check what the rank of a request changes while it is routed."""
+
+import json
+import os
+from random import Random
+
+import anyio
+
+from berylchute.attempts import ActiveRequest
+from berylchute.callers import CallerConnection, CallerRequest, CallerServer, PendingRequest
+from berylchute.edgemetrics import EdgeMetrics
+from berylchute.eventlog import EventLog
+from berylchute.priorities import EqualRanks, RequestRanks, make_ranks
+from berylchute.retryafter import DELAY_RATIO_RANGE
+from berylchute.selection import FULL_LOAD_RATIO, NoServerReason, Selection
+from berylchute.sharedobjects import RouteKind
+from tests.httpfakes import ManualClock
+from tests.test_requesthandler import OK, _Harness, _LoopClock, _status
+from tests.test_routeindex import route
+
+
+def _log() -> tuple[EventLog, int]:
+    read, write = os.pipe()
+    return EventLog(write, "h"), read
+
+
+def _fill(harness: _Harness, load: int) -> None:
+    for server in harness.all_servers:
+        server.in_flight = load
+
+
+class _LowRatio(EqualRanks):
+    """A ratio of half of the slots for every request, and repeats that are all early."""
+
+    def full_ratio(self, active: ActiveRequest) -> float | None:
+        return 0.5
+
+    def is_early(self, service: str, request_id: str) -> bool:
+        return True
+
+
+def test_ratio_of_the_rank_decides_whether_a_server_is_full() -> None:
+    # Guard against a reserve that the selection of a server ignores.
+    harness = _Harness(RouteKind.IDEMPOTENT)
+    harness.ranks = _LowRatio(Random(1))
+    assert _status(harness.run(prepare=lambda harness: _fill(harness, 2))) == 503
+    equal = _Harness(RouteKind.IDEMPOTENT, OK)
+    assert _status(equal.run(prepare=lambda harness: _fill(harness, 2))) == 200
+
+
+def test_refusal_has_a_scheduled_return_and_is_counted_by_rank() -> None:
+    # Guard against refusals by rank that operators don't see, and returns beyond a third of the
+    # remaining time.
+    harness = _Harness(RouteKind.NON_IDEMPOTENT)
+    harness.ranks = RequestRanks(_LoopClock(), Random(1), _log()[0], harness.metrics)
+    answer = harness.run(prepare=lambda harness: _fill(harness, 8))
+    assert answer is not None and answer.status == 503
+    delay_s = float(dict(answer.headers)[b"Retry-After"])
+    first, last = DELAY_RATIO_RANGE
+    assert 2.9 * first <= delay_s <= 3.0 * last
+    metrics = harness.metrics.render().decode()
+    assert 'berylchute_edge_rank_refusals_total{rank="1",reason="all_full"} 1.0' in metrics
+    assert 'berylchute_edge_full_load_ratio{rank="1",service="s"} 1.25' in metrics
+
+
+def test_early_repeat_finds_no_more_room_than_a_new_caller() -> None:
+    # Guard against callers that repeat before their scheduled time and displace those that wait.
+    async def main() -> bool:
+        harness = _Harness(RouteKind.IDEMPOTENT)
+        ranks = RequestRanks(_LoopClock(), Random(1), _log()[0], harness.metrics)
+        harness.ranks = ranks
+        await harness._main(3000.0, 1.0, lambda harness: _fill(harness, 8), lambda _: None)
+        assert ranks.is_early("s", "id1") and not ranks.is_early("s", "id2")
+        await anyio.sleep(0.05)
+        return ranks.is_early("s", "id1")
+
+    assert anyio.run(main)
+
+
+def _active(rank: int) -> ActiveRequest:
+    connection = CallerConnection(CallerServer(lambda _: None, ManualClock()))
+    request = CallerRequest(b"GET", b"/a/x", "/a/x", "a", [], b"", 0.0)
+    pending = PendingRequest(connection, request, keep_alive=True)
+    return ActiveRequest(pending, request, route("/a/", priority=rank), "s", "k", 1.0)
+
+
+def test_shortage_is_logged_with_the_ratios_by_rank() -> None:
+    # Guard against a shortage that operators can't see, or that never ends without requests.
+    clock, metrics = ManualClock(), EdgeMetrics()
+    log, read = _log()
+    ranks = RequestRanks(clock, Random(1), log, metrics)
+    full = Selection(None, NoServerReason.ALL_FULL, 12.0)
+    for _ in range(40):
+        clock.now += 0.05
+        for rank in (0, 2):
+            ranks.record_selection(_active(rank), full)
+    urgent, low = ranks.full_ratio(_active(0)), ranks.full_ratio(_active(2))
+    assert urgent == FULL_LOAD_RATIO
+    clock.now += 3.0
+    ranks.update()
+    clock.now += 3.0
+    ranks.update()
+    log.flush()
+    events = [json.loads(line) for line in os.read(read, 65536).splitlines()]
+    assert [(event["event"], event["short"]) for event in events] == [
+        ("reserve", True),
+        ("reserve", False),
+    ]
+    assert events[0]["service"] == "s" and set(events[0]["full_ratios"]) == {"0", "2"}
+    assert low is not None and low < FULL_LOAD_RATIO
+
+
+def test_ranks_are_equal_unless_enabled() -> None:
+    # Guard against a change of selections and returns where ranks are not enabled.
+    ranks = make_ranks(
+        is_enabled=False, clock=ManualClock(), rng=Random(1), log=_log()[0], metrics=EdgeMetrics()
+    )
+    assert isinstance(ranks, EqualRanks)
+    active = _active(2)
+    ranks.record_selection(active, Selection(None, NoServerReason.ALL_FULL))
+    assert ranks.full_ratio(active) is None and not ranks.is_early("s", "id1")
