Deepen reserves while the most urgent rank is refused in spite of them

Servers held 14.5 requests on average where the hosts knew of 12.0, so that other ranks filled the reserve.

Change: a correction, bounded, follows the refusals of the most urgent rank. Requests beyond a fair share get a reserve deeper than that of their rank.

--- a/berylchute/priorities/admission.py
+++ b/berylchute/priorities/admission.py
@@ -33,6 +33,8 @@
 # Part of the room between its own ratio and the present one that returning callers of a rank may
 # use. New callers of the most urgent rank keep the rest.
 RETURN_PART = 0.5
+# Depth of a reserve against requests beyond a fair share, beyond that against their rank.
+EXCESS_DEPTH = 0.5
 # Shortest time between two reports about one service.
 REPORT_INTERVAL_S = 1.0
 
@@ -75,6 +77,8 @@
 class _Service:
     """The counts and reserves of one service; `depths` are 1 at the floor, 0 without a reserve.
 
+    `correction` is added to the depths of all reserves.
+
     `window` holds the end of each recent interval, its selections and those without room.
     `selections` and `short_selections` are those since the last interval.
     """
@@ -84,6 +88,7 @@
     short_selections: int = 0
     window: deque[tuple[float, int, int]] = attrs.Factory(deque)
     is_short: bool = False
+    correction: float = 0.0
     reported_at_s: float = -math.inf
     is_reported_short: bool = False
     total: _Counts = attrs.Factory(_Counts)
@@ -123,7 +128,7 @@
             # Returns of its many refused callers would take the room of the other organisations.
             is_return = False
             if rng.random() < service.excess[key]:
-                depth = 1.0
+                depth = max(1.0, depth + EXCESS_DEPTH)
         if not depth:
             return RETURN_FULL_LOAD_RATIO if is_return else FULL_LOAD_RATIO
         ratio = self._ratio(depth)
@@ -234,6 +239,7 @@
             )
 
     def _set_reserves(self, service: _Service, elapsed_s: float) -> None:
+        self._correct(service, elapsed_s)
         released = elapsed_s / self._parameters.release_s
         depths = {}
         for rank in service.ranks:
@@ -249,11 +255,23 @@
         service.guaranteed_ranks = _keys_below(service.ranks, served_min)
         service.guaranteed = _keys_below(service.organisations, served_min)
 
+    def _correct(self, service: _Service, elapsed_s: float) -> None:
+        """Deepen the reserves while the most urgent rank is refused in spite of them."""
+        parameters = self._parameters
+        if not service.is_short or len(service.ranks) < 2:
+            service.correction = 0.0
+            return
+        refused = 1.0 - service.ranks[min(service.ranks)].served_ratio
+        change = parameters.correction_per_s * (refused - parameters.urgent_refused_ratio)
+        correction = service.correction + elapsed_s * change
+        service.correction = min(max(correction, 0.0), parameters.correction_max)
+
     def _needed_depth(self, service: _Service, rank: int) -> float:
         share = self._urgent_share(service, rank)
         if share < RANK_SHARE_MIN:
             return 0.0
-        return min(1.0, self._parameters.reserve_min + self._parameters.reserve_gain * share)
+        depth = min(1.0, self._parameters.reserve_min + self._parameters.reserve_gain * share)
+        return depth + service.correction
 
     def _urgent_share(self, service: _Service, rank: int) -> float:
         demand = sum(counts.demand for other, counts in service.ranks.items() if other < rank)
--- a/berylchute/priorities/parameters.py
+++ b/berylchute/priorities/parameters.py
@@ -16,10 +16,13 @@
     `shortage_window_s`, and at least `enter_count` of them, until the ratio is `leave_ratio` or
     less. Counts of demand and served requests fall to 1/e within `demand_window_s`.
 
-    `floor_ratio` is the lowest ratio of load to slots from which a server is full. At 1.0 a reserve
-    leaves no slot idle: it consists of places in the servers' queues. The depth of a reserve, 1 at
-    the floor, is `reserve_min` plus `reserve_gain` times the share of the served requests that more
-    urgent ranks demand. It ends over `release_s`.
+    `floor_ratio` is the ratio of load to slots from which a server is full at a reserve of depth 1.
+    At 1.0 such a reserve leaves no slot idle: it consists of places in the servers' queues. The
+    depth is at most 1, `reserve_min` plus `reserve_gain` times the share of the served requests
+    that more urgent ranks demand, plus a correction of at most `correction_max`. The correction
+    changes by `correction_per_s` times the difference of the most urgent rank's ratio of refusals
+    from `urgent_refused_ratio`: where many hosts share the servers, the loads that one knows are
+    too low (12.0 instead of 14.5 in a model of 12 hosts). Reserves end over `release_s`.
 
     Ranks and organisations that are served less than `guaranteed_ratio` as often as all are exempt
     from reserves; it is above the quarter that is required, since the counts lag. An organisation
@@ -34,6 +37,9 @@
     floor_ratio: float = 1.0
     reserve_min: float = 0.3
     reserve_gain: float = 2.0
+    correction_max: float = 1.2
+    correction_per_s: float = 5.0
+    urgent_refused_ratio: float = 0.03
     release_s: float = 0.5
     guaranteed_ratio: float = 0.35
     excess_factor: float = 1.3
