--- a/berylchute/priorities/requestranks.py
+++ b/berylchute/priorities/requestranks.py
@@ -129,4 +129,5 @@
 
 
 def _class_of(active: ActiveRequest) -> RequestClass:
-    return RequestClass(active.service, active.route.priority)
+    name = active.organisation.name if active.organisation else ""
+    return RequestClass(active.service, active.priority, name)
