Treat organisations with equal demand alike in a shortage

Cause: when a rank is served less than it demands, also organisations with equal demand exceed the fair level, so that all of them got deeper reserves and no advantage as returns; with nothing served, each was in excess.

Change: no fair share is below the smallest demand. Only the requests drawn as beyond the fair share lose the advantage of returns, and only from 1.6 times the share on. Past intervals of returns are discarded once in each.

--- a/berylchute/priorities/admission.py
+++ b/berylchute/priorities/admission.py
@@ -124,11 +124,10 @@
         key = (request.rank, request.organisation)
         if request.rank in service.guaranteed_ranks or key in service.guaranteed:
             depth = 0.0
-        elif key in service.excess:
+        elif key in service.excess and rng.random() < service.excess[key]:
             # Returns of its many refused callers would take the room of the other organisations.
             is_return = False
-            if rng.random() < service.excess[key]:
-                depth = max(1.0, depth + EXCESS_DEPTH)
+            depth = max(1.0, depth + EXCESS_DEPTH)
         if not depth:
             return RETURN_FULL_LOAD_RATIO if is_return else FULL_LOAD_RATIO
         ratio = self._ratio(depth)
@@ -284,7 +283,6 @@
         return {
             (rank, name): ratio
             for rank, by_name in demands.items()
-            if len(by_name) > 1
             for name, ratio in excess_ratios(
                 by_name, service.ranks[rank].served, self._parameters.excess_factor
             ).items()
--- a/berylchute/priorities/fairshares.py
+++ b/berylchute/priorities/fairshares.py
@@ -23,8 +23,12 @@
     """Return the ratio of its requests that each organisation sends beyond its fair share.
 
     Organisations up to `factor` times their fair share are left out, and so are requests without
-    an organisation: their callers are unrelated.
+    an organisation: their callers are unrelated. No fair share is below the smallest demand: if
+    all organisations demand the same, none of them is in excess.
     """
     named = {name: demand for name, demand in demands.items() if name}
+    if len(named) < 2:
+        return {}
     level = fair_level(named.values(), max(0.0, room - demands.get("", 0.0)))
+    level = max(level, min(named.values()))
     return {name: 1.0 - level / demand for name, demand in named.items() if demand > factor * level}
--- a/berylchute/priorities/parameters.py
+++ b/berylchute/priorities/parameters.py
@@ -42,5 +42,5 @@
     urgent_refused_ratio: float = 0.03
     release_s: float = 0.5
     guaranteed_ratio: float = 0.35
-    excess_factor: float = 1.3
+    excess_factor: float = 1.6
     update_interval_s: float = 0.1
--- a/berylchute/priorities/returnschedule.py
+++ b/berylchute/priorities/returnschedule.py
@@ -30,6 +30,7 @@
 
     def __init__(self) -> None:
         self._counts: dict[int, int] = {}
+        self._current = 0
         self._due_s: OrderedDict[str, float] = OrderedDict()
 
     def schedule(
@@ -82,5 +83,8 @@
 
     def _discard_past(self, now_s: float) -> None:
         current = int(now_s / INTERVAL_S)
-        for interval in [interval for interval in self._counts if interval < current]:
-            del self._counts[interval]
+        if current != self._current:
+            self._current = current
+            self._counts = {
+                interval: count for interval, count in self._counts.items() if interval >= current
+            }
--- a/tests/test_priorities.py
+++ b/tests/test_priorities.py
@@ -12,6 +12,7 @@
     RequestClass,
     ReserveChange,
     ReturnSchedule,
+    excess_ratios,
     fair_level,
 )
 from berylchute.retryafter import DELAY_RATIO_RANGE
@@ -130,6 +131,22 @@
     assert _served_ratio_of_all(fleet) >= TOTAL_MIN_RATIO * _served_ratio_of_all(base)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_surge_of_an_organisation_displaces_neither_its_rank_nor_more_urgent_ones(
+    seed: int,
+) -> None:
+    # Guard against fair shares that hold among organisations but not beside other ranks.
+    urgent = Kind("urgent", 0, _rate(50), "urgent")
+    others = tuple(Kind(f"o{rate}", 1, _rate(rate), f"o{rate}") for rate in (100, 60, 40, 5))
+    kinds = (urgent, Kind("hot", 1, _rate(60, 420), "hot"), *others)
+    fleet, base = _run(kinds, seed), _run(kinds, seed, is_ranked=False)
+    assert fleet.ratio("urgent") >= URGENT_SERVED_MIN
+    for kind in others:
+        assert fleet.ratio(kind.name) >= max(0.94, base.ratio(kind.name)), kind.name
+    assert fleet.ratio("hot") >= SERVED_MIN_RATIO * _served_ratio_of_all(fleet)
+    assert _served_ratio_of_all(fleet) >= TOTAL_MIN_RATIO * _served_ratio_of_all(base)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_no_rank_is_starved(seed: int) -> None:
     # Guard against a less urgent rank that gets nothing while urgent ones alone fill the servers.
@@ -251,6 +268,15 @@
     assert fair_level([], 9.0) == 0.0
 
 
+def test_organisations_with_equal_demand_are_not_in_excess() -> None:
+    # Guard against deeper reserves without a difference between organisations, also while nothing
+    # is served.
+    assert excess_ratios({"a": 10.0, "b": 10.0, "": 50.0}, 4.0, 1.3) == {}
+    assert excess_ratios({"a": 10.0, "b": 10.0}, 0.0, 1.3) == {}
+    assert excess_ratios({"a": 40.0, "b": 10.0, "c": 8.0}, 28.0, 1.3) == {"a": 0.75}
+    assert excess_ratios({"a": 40.0}, 1.0, 1.3) == {}
+
+
 def _delays(position: float | None, count: int = 300, rate_per_s: float = 100.0) -> list[float]:
     schedule, rng = ReturnSchedule(), Random(1)
     return [
--- a/tests/test_requestranks.py
+++ b/tests/test_requestranks.py
@@ -10,11 +10,13 @@
 from berylchute.callers import CallerConnection, CallerRequest, CallerServer, PendingRequest
 from berylchute.edgemetrics import EdgeMetrics
 from berylchute.eventlog import EventLog
+from berylchute.organisations import Identity
 from berylchute.priorities import EqualRanks, RequestRanks, make_ranks
 from berylchute.retryafter import DELAY_RATIO_RANGE
 from berylchute.selection import FULL_LOAD_RATIO, NoServerReason, Selection
 from berylchute.sharedobjects import RouteKind
 from tests.httpfakes import ManualClock
+from tests.test_organisations import DIRECTORY, organisation
 from tests.test_requesthandler import OK, _Harness, _LoopClock, _status
 from tests.test_routeindex import route
 
@@ -110,6 +112,28 @@
     assert low is not None and low < FULL_LOAD_RATIO
 
 
+def test_effective_rank_and_organisation_of_a_request_count() -> None:
+    # Guard against the rank of the route where the organisation has another one, and against
+    # organisations that are counted together.
+    clock, metrics = ManualClock(), EdgeMetrics()
+    ranks = RequestRanks(clock, Random(1), _log()[0], metrics)
+
+    def active_of(name: str) -> ActiveRequest:
+        active = _active(2)
+        active.apply_identity(Identity(organisation(name, priority=0), (), DIRECTORY))
+        return active
+
+    full = Selection(None, NoServerReason.ALL_FULL, 12.0)
+    hot, other = active_of("hot"), active_of("other")
+    for step in range(400):
+        clock.now += 0.005
+        ranks.record_selection(other if step % 20 == 0 else hot, full)
+    assert ranks.full_ratio(other) == FULL_LOAD_RATIO
+    assert min(ranks.full_ratio(hot) or 0.0 for _ in range(20)) < FULL_LOAD_RATIO
+    ranks.refuse(hot, 2.0, 0.0)
+    assert 'rank_refusals_total{rank="0"' in metrics.render().decode()
+
+
 def test_ranks_are_equal_unless_enabled() -> None:
     # Guard against a change of selections and returns where ranks are not enabled.
     ranks = make_ranks(
