--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -63,7 +63,7 @@
 class _Harness:
     """An edge program, one backend server and a store."""
 
-    def __init__(self, timeout_s: float = 1.0) -> None:
+    def __init__(self, timeout_s: float = 1.0, *, admission_by_rank: bool = False) -> None:
         self.callers, peers, server, self.metrics = (f"127.0.0.1:{port}" for port in free_ports(4))
         self.server = server
         self._is_stopping = False
@@ -84,7 +84,14 @@
             store=StoreSettings(url=""),
             peers=PeersSettings(),
         )
-        self.settings = EdgeSettings(node, {"za": "ra"}, RetryBounds(), GRACE_S, self.metrics)
+        self.settings = EdgeSettings(
+            node,
+            {"za": "ra"},
+            RetryBounds(),
+            GRACE_S,
+            self.metrics,
+            admission_by_rank=admission_by_rank,
+        )
         self.read_settings: Callable[[], EdgeSettings] = lambda: self.settings
         collections = [
             Collection(name, key, lambda entries: entries["only"])  # type: ignore[arg-type, return-value]
@@ -170,6 +177,19 @@
     asyncio.run(_Harness().run(act))
 
 
+@pytest.mark.parametrize("admission_by_rank", [False, True])
+def test_ranks_count_only_if_the_settings_enable_them(admission_by_rank: bool) -> None:
+    # Guard against a setting that the composition ignores, or reserves where it is not set.
+    async def act(harness: _Harness) -> None:
+        await harness.until_ready()
+        assert (await harness.get("/a/x")).startswith(b"HTTP/1.1 200")
+        metrics = (await harness.get("/metrics", harness.metrics)).decode()
+        ratio = 'berylchute_edge_full_load_ratio{rank="1",service="s"} 1.25'
+        assert (ratio in metrics) is admission_by_rank
+
+    asyncio.run(_Harness(admission_by_rank=admission_by_rank).run(act))
+
+
 def test_ready_is_published_at_once() -> None:
     # Guard against a delay of a whole report interval before callers are sent to a ready member.
     async def act(harness: _Harness) -> None:
