--- a/tests/test_requestranks.py
+++ b/tests/test_requestranks.py
@@ -5,6 +5,7 @@
 from random import Random
 
 import anyio
+import pytest
 
 from berylchute.attempts import ActiveRequest
 from berylchute.callers import CallerConnection, CallerRequest, CallerServer, PendingRequest
@@ -13,6 +14,7 @@
 from berylchute.organisations import Identity
 from berylchute.priorities import EqualRanks, RequestRanks, make_ranks
 from berylchute.retryafter import DELAY_RATIO_RANGE
+from berylchute.returns import ReturnDetector
 from berylchute.selection import FULL_LOAD_RATIO, NoServerReason, Selection
 from berylchute.sharedobjects import RouteKind
 from tests.httpfakes import ManualClock
@@ -32,13 +34,26 @@
 
 
 class _LowRatio(EqualRanks):
-    """A ratio of half of the slots for every request, and repeats that are all early."""
+    """A ratio of half of the slots for every request."""
 
     def full_ratio(self, active: ActiveRequest) -> float | None:
         return 0.5
 
+
+class _Repeats(EqualRanks):
+    """Requests that are early repeats, or none; records which of them count as returns."""
+
+    def __init__(self, *, are_early: bool) -> None:
+        super().__init__(Random(1))
+        self._are_early = are_early
+        self.returns: list[bool] = []
+
+    def full_ratio(self, active: ActiveRequest) -> float | None:
+        self.returns.append(active.is_return)
+        return None
+
     def is_early(self, service: str, request_id: str) -> bool:
-        return True
+        return self._are_early
 
 
 def test_ratio_of_the_rank_decides_whether_a_server_is_full() -> None:
@@ -65,7 +80,7 @@
     assert 'berylchute_edge_full_load_ratio{rank="1",service="s"} 1.25' in metrics
 
 
-def test_early_repeat_finds_no_more_room_than_a_new_caller() -> None:
+def test_refused_request_is_early_until_its_scheduled_time() -> None:
     # Guard against callers that repeat before their scheduled time and displace those that wait.
     async def main() -> bool:
         harness = _Harness(RouteKind.IDEMPOTENT)
@@ -79,6 +94,18 @@
     assert anyio.run(main)
 
 
+@pytest.mark.parametrize("are_early", [False, True])
+def test_early_repeat_does_not_count_as_a_return(
+    are_early: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guard against a schedule that the request handler ignores.
+    monkeypatch.setattr(ReturnDetector, "is_return", lambda *_: True)
+    harness = _Harness(RouteKind.IDEMPOTENT, OK)
+    harness.ranks = ranks = _Repeats(are_early=are_early)
+    assert _status(harness.run()) == 200
+    assert ranks.returns == [not are_early]
+
+
 def _active(rank: int) -> ActiveRequest:
     connection = CallerConnection(CallerServer(lambda _: None, ManualClock()))
     request = CallerRequest(b"GET", b"/a/x", "/a/x", "a", [], b"", 0.0)
