--- a/berylchute/edgesettings.py
+++ b/berylchute/edgesettings.py
@@ -19,7 +19,9 @@
     `zone_regions` maps availability zones to regions. `grace_s` is the time from the stop signal
     to the kill, `change_apply_s` the time from the store's acknowledgement of a change until all
     members must follow it. `is_first_start` is set while all hosts start for the first time, before
-    there are callers. `metrics_address` is `ip:port`; metrics are not served if it is empty.
+    there are callers. `admission_by_rank` lets the rank of requests decide which are served
+    while servers are short of room. `metrics_address` is `ip:port`; metrics are not served if it is
+    empty.
     """
 
     node: Settings
@@ -30,3 +32,4 @@
     header_names: HeaderNames = HeaderNames()
     change_apply_s: float = CHANGE_APPLY_DEFAULT_S
     is_first_start: bool = False
+    admission_by_rank: bool = False
--- a/berylchute/requestends.py
+++ b/berylchute/requestends.py
@@ -11,6 +11,7 @@
 from berylchute.edgemetrics import EdgeMetrics
 from berylchute.eventlog import EventLog
 from berylchute.headernames import HeaderNames
+from berylchute.priorities import Ranks
 from berylchute.retryafter import STARTING_RETRY_AFTER_S, choose_delay_s, make_retry_after
 from berylchute.retrybudgets import RetryBudgets
 from berylchute.routeindex import RouteIndex
@@ -40,6 +41,7 @@
         rng: Random,
         log: EventLog,
         metrics: EdgeMetrics,
+        ranks: Ranks,
     ) -> None:
         self._header_names = header_names
         self._routes = routes
@@ -49,6 +51,7 @@
         self._rng = rng
         self._log = log
         self._metrics = metrics
+        self._ranks = ranks
 
     def refuse_without_memory(self, pending: PendingRequest) -> None:
         """Refuse a request whose body can't be held; it was not sent to any server."""
@@ -113,8 +116,7 @@
             elapsed_s = self._clock.now_s() - active.request.received_s
             remaining_s = max(0.0, active.request.time_left_ms / 1000.0 - elapsed_s)
         earliest_s = selection.retry_after_s if selection else 0.0
-        delay_s = choose_delay_s(remaining_s, self._rng, earliest_s=earliest_s)
-        headers = (make_retry_after(delay_s),)
+        headers = (make_retry_after(self._ranks.refuse(active, remaining_s, earliest_s)),)
         self.end(active.pending, active, Outcome.REFUSED, CallerAnswer(503, headers), selection)
 
     def end(
--- a/berylchute/requesthandler.py
+++ b/berylchute/requesthandler.py
@@ -21,6 +21,7 @@
 from berylchute.exceptions import AnswerDropped, ExchangeError, NotSent, SendWithdrawn
 from berylchute.headernames import HeaderNames
 from berylchute.organisations import UnauthorizedReason
+from berylchute.priorities import EqualRanks, Ranks
 from berylchute.regionsends import RegionSends
 from berylchute.requestends import TIME_LEFT_DEFAULT_S, RequestEnds
 from berylchute.retrybudget import RetryBounds
@@ -67,6 +68,7 @@
         region_of_zone: Callable[[str], str],
         region_sends: RegionSends,
         permits: SendPermits | None = None,
+        ranks: Ranks | None = None,
     ) -> None:
         self._header_names = header_names
         self._routes = routes
@@ -80,7 +82,9 @@
         self._region_of_zone = region_of_zone
         self._region_sends = region_sends
         self._retry_budgets = RetryBudgets(retry_bounds, discovery)
+        self._ranks = ranks or EqualRanks(rng)
         self._ends = RequestEnds(
+            ranks=self._ranks,
             header_names=header_names,
             routes=routes,
             retry_budgets=self._retry_budgets,
@@ -141,6 +145,8 @@
         )
         if identity is not None:
             active.apply_identity(identity)
+        if self._ranks.is_early(active.service, request.request_id):
+            active.is_return = False
         self._retry_budgets.of(active.service).record_request(self._clock.now_s())
         self._background_tasks.start_isolated(self._run_attempts, active)
 
@@ -176,6 +182,7 @@
 
     def prepare_connections(self) -> None:
         """Open connections to distant servers that have none, if requests are in flight."""
+        self._ranks.update()
         self._backends.update_connect_times()
         if self.in_flight:
             for server in self._backends.unconnected_servers():
@@ -185,7 +192,7 @@
     def _select_server(self, active: ActiveRequest, now_s: float) -> Selection:
         if active.home_regions is not None and not active.home_regions:
             return Selection(None, NoServerReason.NO_COMMON_REGION)
-        return self._selector.select(
+        selection = self._selector.select(
             active.service,
             active.key,
             active.route.goal_s,
@@ -194,7 +201,10 @@
             active.tried_ids,
             now_s,
             is_return=active.is_return,
+            full_ratio=self._ranks.full_ratio(active),
         )
+        self._ranks.record_selection(active, selection)
+        return selection
 
     async def _send_attempt(self, active: ActiveRequest) -> bool:
         """Send the request to one server; return whether the request has ended."""
--- a/tests/test_requesthandler.py
+++ b/tests/test_requesthandler.py
@@ -25,6 +25,7 @@
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import AnswerInvalid, AnswerLost, NotSent, SendWithdrawn
 from berylchute.headernames import HeaderNames
+from berylchute.priorities import Ranks
 from berylchute.regionsends import RegionSends
 from berylchute.requesthandler import RequestHandler
 from berylchute.retrybudget import RetryBounds
@@ -106,6 +107,7 @@
         self.retry_ratio = 10.0
         self.warmup_s = 0.0
         self.reply_delay_s = 0.0
+        self.ranks: Ranks | None = None
         self.zones = ["za"]
         self.route_changes: dict[str, object] = {}
         self.organisations: tuple[Organisation, ...] = ()
@@ -208,6 +210,7 @@
             discovery=discovery,
             region_of_zone=lambda zone: f"r{zone[1:]}",
             region_sends=RegionSends(clock),
+            ranks=self.ranks,
             permits=self.permits,
         )
 
