Let the route's priority decide between organisations of the same priority

Cause: where all organisations have priority 1, a priority that replaces the route's makes the most urgent kind of request equal to the least urgent one. Change: the organisation's priority is compared first, then the route's. Result: the test of effective ranks distinguishes routes within one priority.

--- a/berylchute/attempts.py
+++ b/berylchute/attempts.py
@@ -18,6 +18,11 @@
 __all__ = ["ActiveRequest", "Attempt", "Outcome", "encode_request", "round_ms", "start_attempt"]
 
 
+# Step between the ranks of two priorities of organisations: that of the route decides between the
+# requests of organisations with the same priority.
+ORGANISATION_RANK_STEP = 1000
+
+
 class Outcome(StrEnum):
     """How a request ended; the values appear in events and metrics."""
 
@@ -110,7 +115,8 @@
         self.headers = identity.headers
         self.priority = self.route.priority
         if organisation is not None and organisation.priority is not None:
-            self.priority = organisation.priority
+            route_priority = min(self.route.priority, ORGANISATION_RANK_STEP - 1)
+            self.priority = organisation.priority * ORGANISATION_RANK_STEP + route_priority
         self.home_regions = combine_home_regions(self.route, organisation)
 
     @property
