Test that the request handler updates the reserves periodically

Cause: without the call, all tests passed, and a shortage without further requests would not end. Result: tests/test_requestranks.py: 8 passed; 2 fail without the call.

--- a/tests/test_requestranks.py
+++ b/tests/test_requestranks.py
@@ -47,6 +47,10 @@
         super().__init__(Random(1))
         self._are_early = are_early
         self.returns: list[bool] = []
+        self.updates = 0
+
+    def update(self) -> None:
+        self.updates += 1
 
     def full_ratio(self, active: ActiveRequest) -> float | None:
         self.returns.append(active.is_return)
@@ -98,12 +102,12 @@
 def test_early_repeat_does_not_count_as_a_return(
     are_early: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    # Guard against a schedule that the request handler ignores.
+    # Guard against a schedule that the request handler ignores, and a shortage that it never ends.
     monkeypatch.setattr(ReturnDetector, "is_return", lambda *_: True)
     harness = _Harness(RouteKind.IDEMPOTENT, OK)
     harness.ranks = ranks = _Repeats(are_early=are_early)
     assert _status(harness.run()) == 200
-    assert ranks.returns == [not are_early]
+    assert ranks.returns == [not are_early] and ranks.updates == 1
 
 
 def _active(rank: int) -> ActiveRequest:
