--- a/berylchute/allotments/holder.py
+++ b/berylchute/allotments/holder.py
@@ -134,6 +134,11 @@
         """Return the organisations with waiting requests."""
         return [name for name, holding in self._holdings.items() if holding.waiting]
 
+    def has_waiting(self, name: str) -> bool:
+        """Return whether requests of an organisation are waiting."""
+        holding = self._holdings.get(name)
+        return holding is not None and bool(holding.waiting)
+
     def add(
         self, name: str, limit: AllotmentLimit, owner_key: str, own_part: float, now_s: float
     ) -> Waiter:
--- a/berylchute/allotments/service.py
+++ b/berylchute/allotments/service.py
@@ -244,7 +244,7 @@
             own_part=self._own_part(),
             now_s=self._clock.now_s(),
         )
-        if name in self._holder.waiting_names():
+        if self._holder.has_waiting(name):
             self._send_asks(name)
 
     def _log_denied(self, name: str, limit: AllotmentLimit) -> None:
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -23,6 +23,7 @@
 from berylchute.edgestate import EdgeStateReader
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import ConfigError, ListenError, SettingsError, first_error
+from berylchute.memberlog import MemberLog
 from berylchute.membership import MembershipTiming
 from berylchute.node import BootClock, Node
 from berylchute.objectapplier import ObjectApplier
@@ -38,7 +39,7 @@
 from berylchute.spillshare import SpillLimiter
 from berylchute.stoptimes import StopTimes
 from berylchute.storecontact import StoreContact, StoreProbe
-from berylchute.types import MemberStatus, StoredObject
+from berylchute.types import StoredObject
 
 __all__ = ["Edge", "EdgeSettings"]
 
@@ -151,7 +152,7 @@
         self._stop_requested = anyio.Event()
         self._is_stopping = False
         self._published_ready = False
-        self._logged_members: Sequence[MemberStatus] = ()
+        self._member_log = MemberLog(self._log)
         self._metrics.read_state = EdgeStateReader(
             node=self._node,
             routes=self._routes,
@@ -312,7 +313,7 @@
         is_watching = False
         while True:
             members = self._node.members.list_members()
-            self._log_members(members)
+            self._member_log.update(members)
             self._directory.update(members)
             self._discovery.update(is_joined=self._node.is_joined)
             self._server_limits.update_members(members)
@@ -340,15 +341,6 @@
             self._node.set_ready(self._published_ready)
             self._log.event("ready", ready=self._published_ready)
 
-    def _log_members(self, members: Sequence[MemberStatus]) -> None:
-        if members is self._logged_members:
-            return
-        before = {status.record.host_id: status.state for status in self._logged_members}
-        self._logged_members = members
-        for status in members:
-            if before.get(status.record.host_id) is not status.state:
-                self._log.event("member", member=status.record.host_id, state=status.state)
-
     async def _flush_forever(self) -> None:
         while True:
             await anyio.sleep(LOG_FLUSH_S)
