--- a/tests/crowd/callers.py
+++ b/tests/crowd/callers.py
@@ -112,7 +112,7 @@
     },
     "one-byte chunks": Callers(8, _chunked(), ONE_BYTE_CHUNK * 10_000, 100),
     "one-byte chunks at slow servers": Callers(16, b"", _SLOW_BODY, 300),
-    "chunk extensions": Callers(8, _chunked(), b"1;" + b"a=b;" * 10_000 + b"\r\nx\r\n", 100),
+    "chunk extensions": Callers(8, _chunked(), b"1" + b";a=b" * 10_000 + b"\r\nx\r\n", 100),
     "blank lines": Callers(8, b"", b"\r\n" * 30_000, 100),
     "callers that never read": Callers(64, b"", request("/read/large") * 8, 8, reads=False),
     "more connections than descriptors": Callers(900, request("/read/0")[:-2]),
