Count all that a caller's requests hold in one memory account

Cause: the parser reports trailers as headers, and they were stored without a bound; only bodies were counted, while a short header line takes up to 200 bytes as objects; an idle connection held the body of its last request. A read of 256 KiB was parsed at once, with all the requests in it, and each chunk was counted by itself.

One turn of the event loop parses a bounded number of bytes and lines of a connection. A request that finds no room is refused with 503 before it runs.

--- a/berylchute/callerconnection.py
+++ b/berylchute/callerconnection.py
@@ -7,19 +7,17 @@
 from http import HTTPStatus
 from typing import Protocol
 
-import httptools
-
-from berylchute.answerlimits import parse_content_length
 from berylchute.bodymemory import BodyMemory, BodyStage
-from berylchute.callermessages import (
-    CONNECTION_HEADERS,
-    CallerAnswer,
-    CallerRequest,
-    Header,
-    PendingRequest,
-    encode_head,
+from berylchute.callerlimits import (
+    PART_BYTES,
+    CallerEventLog,
+    Cause,
+    ReadPace,
+    RequestLimits,
 )
+from berylchute.callermessages import CallerAnswer, CallerRequest, PendingRequest, encode_head
 from berylchute.headernames import HeaderNames
+from berylchute.requestreader import RequestReader
 from berylchute.sharedobjects import CallerLimits
 from berylchute.types import Clock
 
@@ -42,24 +40,29 @@
     clock: Clock
     header_names: HeaderNames
     limits: CallerLimits
+    request_limits: RequestLimits
     is_closing: bool
     connections: "set[CallerConnection]"
     body_memory: BodyMemory
+    caller_events: CallerEventLog
+    read_buffer: bytearray
     handle: Callable[[PendingRequest], None]
     refuse: Callable[[PendingRequest], None]
+    call_soon: Callable[[Callable[[], None]], None]
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.BufferedProtocol):
     """One connection of a caller; requests run concurrently and are answered in order."""
 
     def __init__(self, server: ConnectionServer) -> None:
         self._server = server
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._reader = RequestReader(server, self._accept_head, self._accept_request)
         self._pending: deque[PendingRequest] = deque()
         self._last_activity_s = server.clock.now_s()
-        self._message_started_s: float | None = None
-        self._is_reading_head = False
+        self._unparsed = b""
+        self._is_parse_scheduled = False
+        self._held_bytes = 0
         self._is_paused = False
         self._is_closing = False
         self.is_closed = False
@@ -68,17 +71,8 @@
         self._sending: PendingRequest | None = None
         self._unsent = memoryview(b"")
         self._is_writing_paused = False
-        self._chunk_bytes = 0
-        self._head_bytes = 0
-        self._reset_message()
-
-    def _reset_message(self) -> None:
-        self._url = b""
-        self._headers: list[Header] = []
-        self._body = bytearray()
-        self._body_bytes = 0
 
-    # asyncio.Protocol
+    # asyncio.BufferedProtocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Add the connection to the server."""
@@ -106,132 +100,144 @@
         """Close the connection; a half-closed connection counts as a disconnect."""
         return False
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer of all connections of the server; it is used at once."""
+        return self._server.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what was read into the buffer, unless the connection is closed."""
+        if self._is_closing:
+            self._last_activity_s = self._server.clock.now_s()
+        else:
+            self.data_received(bytes(memoryview(self._server.read_buffer)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse bytes; a malformed request gets status 400 and closes the connection."""
         self._last_activity_s = self._server.clock.now_s()
+        if self._is_closing or not data:
+            return
+        if len(data) > PART_BYTES or self._unparsed:
+            self._unparsed += data
+            self._parse_unparsed()
+            return
+        self._parse(data)
+        if self._held_bytes or self._reader.started_s is not None:
+            self._count_held()
+
+    # requests
+
+    def _parse(self, data: bytes) -> None:
+        reader = self._reader
+        reader.feed(data, self._last_activity_s)
+        if self._is_closing:
+            reader.discard()
+        elif reader.refusal is not None:
+            self._refuse(reader.refusal.status, reader.refusal.cause)
+
+    def _parse_unparsed(self) -> None:
+        """Parse what was read as far as one turn of the event loop allows, the rest later."""
+        data, start = self._unparsed, 0
+        limits = self._server.request_limits
+        pace = ReadPace(limits.turn_bytes_max, limits.turn_events_max)
+        while start < len(data) and not self._is_closing and not self._is_pipeline_full():
+            part = data[start : start + pace.next_part_bytes(self._reader.body_bytes_left)]
+            start += len(part)
+            self._parse(part)
+            if not pace.may_go_on(len(part), self._reader.events):
+                break
+        self._unparsed = b"" if self._is_closing else data[start:]
+        self._count_held()
+        if self._unparsed:
+            self._pause_reading()
+            self._schedule_parse()
+        elif not self._is_pipeline_full():
+            self._resume_reading()
+
+    def _schedule_parse(self) -> None:
+        if not self._is_parse_scheduled and not self._is_pipeline_full():
+            self._is_parse_scheduled = True
+            self._server.call_soon(self._parse_scheduled)
+
+    def _parse_scheduled(self) -> None:
+        self._is_parse_scheduled = False
+        if self._unparsed and not self._is_closing and not self.is_closed:
+            self._parse_unparsed()
+
+    def _is_pipeline_full(self) -> bool:
+        return len(self._pending) >= PIPELINED_REQUESTS_MAX
+
+    def _pause_reading(self) -> None:
+        if not self._is_paused and self._transport is not None:
+            self._is_paused = True
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self._is_paused and self._transport is not None:
+            self._is_paused = False
+            self._transport.resume_reading()
+
+    def _count_held(self) -> None:
+        """Tell the memory account what the incomplete request and unparsed bytes take."""
         if self._is_closing:
             return
-        if self._message_started_s is None:
-            self._message_started_s = self._last_activity_s
-            self._is_reading_head = True
-        # Bytes of a pipelined message that arrive with the end of the previous one are not counted.
-        self._chunk_bytes = len(data)
-        if self._is_reading_head:
-            self._head_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(HTTPStatus.BAD_REQUEST)
-        except httptools.HttpParserError:
-            # A callback may have refused the request already; _refuse does nothing then.
-            self._refuse(HTTPStatus.BAD_REQUEST)
-        else:
-            if self._is_reading_head and self._head_bytes > self._server.limits.header_bytes_max:
-                self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-
-    # httptools callbacks
-
-    def on_message_begin(self) -> None:
-        """Reset the parser state for the next request."""
-        self._reset_message()
-        self._head_bytes = self._chunk_bytes
-        self._message_started_s = self._last_activity_s
-        self._is_reading_head = True
-
-    def on_url(self, url: bytes) -> None:
-        """Append a part of the request target."""
-        self._url += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; `Expect` is answered with status 100."""
-        self._headers.append((name, value))
-        if name.lower() == b"expect" and self._transport is not None and not self._pending:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_headers_complete(self) -> None:
-        """Refuse a request whose headers, or the length that they declare, are above a limit."""
-        self._is_reading_head = False
-        size_bytes = len(self._url) + sum(len(n) + len(v) + 4 for n, v in self._headers)
-        length = _find_content_length(self._headers)
-        if size_bytes > self._server.limits.header_bytes_max:
-            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-        elif length > self._server.limits.body_bytes_max:
-            self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        elif not self._server.body_memory.may_receive(length):
-            self.drop_body(f"no room for {length} bytes")
-
-    def on_body(self, body: bytes) -> None:
-        """Store a part of the body; refuse a request with a body above the size limit."""
-        self._body_bytes += len(body)
-        if self._body_bytes > self._server.limits.body_bytes_max:
-            self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        elif not self._is_closing:
-            self._body += body
-            self._server.body_memory.hold(self, BodyStage.RECEIVING_REQUEST, len(body))
-
-    def on_message_complete(self) -> None:
-        """Pass the complete request to the server's handler."""
-        self._message_started_s = None
-        self._chunk_bytes = 0
+        held_bytes = self._reader.held_bytes() + len(self._unparsed)
+        added_bytes = held_bytes - self._held_bytes
+        if added_bytes:
+            self._held_bytes = held_bytes
+            self._server.body_memory.hold(self, BodyStage.RECEIVING_REQUEST, added_bytes)
+
+    def _accept_head(self, body_bytes: int, expect_lines: int) -> None:
+        """Refuse a declared length that finds no room; else invite a caller that waits to send."""
+        if not self._server.body_memory.may_receive(body_bytes):
+            self.drop_body(f"no room for {body_bytes} bytes")
+        elif expect_lines and not self._pending and not self._is_writing_paused:
+            answers = min(expect_lines, self._server.request_limits.interim_answers_max)
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n" * answers)
+
+    def _accept_request(self) -> None:
+        """Pass a complete request to the server's handler, or refuse it if memory is full."""
         if self._is_closing:
             return
-        keep_alive = self._parser.should_keep_alive() and not self._server.is_closing
-        pending = PendingRequest(self, self._make_request(), keep_alive)
+        server = self._server
+        keep_alive = self._reader.should_keep_alive() and not server.is_closing
+        request, size_bytes = self._reader.take_request()
+        pending = PendingRequest(self, request, keep_alive)
         self._pending.append(pending)
-        body_memory = self._server.body_memory
-        size_bytes = body_memory.release(self, BodyStage.RECEIVING_REQUEST)
-        if size_bytes:
-            body_memory.hold(pending, BodyStage.IN_FLIGHT_REQUEST, size_bytes)
+        body_memory = server.body_memory
+        if self._held_bytes:
+            self._held_bytes = 0
+            body_memory.release(self, BodyStage.RECEIVING_REQUEST)
         if not keep_alive:
             self._is_closing = True
-        if len(self._pending) >= PIPELINED_REQUESTS_MAX and self._transport is not None:
-            self._is_paused = True
-            self._transport.pause_reading()
+        if self._is_pipeline_full():
+            self._pause_reading()
+        if not body_memory.may_start(size_bytes):
+            server.caller_events.record(Cause.NO_MEMORY, "no room for %d bytes", size_bytes)
+            server.refuse(pending)
+            return
+        body_memory.hold(pending, BodyStage.IN_FLIGHT_REQUEST, size_bytes)
         try:
-            self._server.handle(pending)
+            server.handle(pending)
         except Exception:
             # Raised into the parser, it would count as a malformed request.
             logger.exception("request %s failed, refusing it", pending.request.request_id)
             pending.respond(CallerAnswer(HTTPStatus.SERVICE_UNAVAILABLE))
 
-    def _make_request(self) -> CallerRequest:
-        header_names = self._server.header_names
-        request = CallerRequest(
-            method=self._parser.get_method(),
-            target=self._url,
-            path=self._url.partition(b"?")[0].decode("latin-1"),
-            host="",
-            headers=[],
-            body=self._body,
-            received_s=self._last_activity_s,
-        )
-        for name, value in self._headers:
-            key = name.lower()
-            if key == b"host":
-                request.host = value.decode("latin-1").partition(":")[0].lower()
-            elif key == header_names.request_id:
-                request.request_id = value.decode("latin-1")
-            elif key == header_names.deadline_ms:
-                request.time_left_ms = _parse_ms(value)
-                continue  # sent to the backend server with the time that remains
-            elif key == header_names.expected_server:
-                continue
-            elif key == b"cookie":
-                request.affinity_key = _find_cookie(value, header_names.affinity_cookie)
-            if key not in CONNECTION_HEADERS:
-                request.headers.append((name, value))
-        return request
-
     # answers
 
     def accept_answer(self, pending: PendingRequest) -> None:
         """Send an answer once all earlier requests of the connection are answered."""
         body_memory = self._server.body_memory
         body_memory.release(pending, BodyStage.IN_FLIGHT_REQUEST)
-        is_open = not self.is_closed and not self._is_lingering
-        if pending.answer is not None and pending.answer.body and is_open:
-            body_memory.hold(pending, BodyStage.SENDING_ANSWER, len(pending.answer.body))
         self._flush()
+        is_waiting = pending is self._sending or pending in self._pending
+        if is_waiting and pending.answer is not None:
+            if pending is not self._sending:
+                # Only the method is still needed.
+                pending.request = CallerRequest(
+                    pending.request.method, b"", "", "", [], b"", pending.request.received_s
+                )
+            body_memory.hold(pending, BodyStage.SENDING_ANSWER, _answer_bytes(pending.answer))
 
     def _flush(self) -> None:
         """Send the answers whose earlier requests are all answered, as fast as the caller reads."""
@@ -246,8 +252,10 @@
         if self._is_closing and not self._pending:
             self._close()
         elif self._is_paused and len(self._pending) < PIPELINED_REQUESTS_MAX // 2:
-            self._is_paused = False
-            transport.resume_reading()
+            if self._unparsed:
+                self._schedule_parse()
+            else:
+                self._resume_reading()
 
     def _can_write(self) -> bool:
         return not self._unsent and not self._is_writing_paused and not self.is_closed
@@ -281,7 +289,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is in flight or partly received."""
-        if not self._pending and not self._unsent and self._message_started_s is None:
+        if not self._pending and not self._unsent and self._reader.started_s is None:
             self._close()
 
     @property
@@ -299,13 +307,13 @@
                 self._end_lingering()
         elif self._is_writing_paused:
             if idle_s > limits.idle_timeout_s:
-                self.abort(f"caller has read nothing for {idle_s:.1f} s")
-        elif self._message_started_s is not None:
-            is_head_late = self._is_reading_head and (
-                now_s - self._message_started_s > limits.header_timeout_s
+                self._abort(Cause.NOT_READING, f"it has read nothing for {idle_s:.1f} s")
+        elif self._reader.started_s is not None:
+            is_head_late = self._reader.is_reading_head and (
+                now_s - self._reader.started_s > limits.header_timeout_s
             )
             if is_head_late or idle_s > limits.idle_timeout_s:
-                self._refuse(HTTPStatus.REQUEST_TIMEOUT)
+                self._refuse(HTTPStatus.REQUEST_TIMEOUT, Cause.LATE)
         elif not self._pending and idle_s > limits.idle_timeout_s:
             self._close()
 
@@ -313,29 +321,40 @@
         """Refuse a request whose body can't be held any longer; implements BodyHolder."""
         if self._is_closing:
             return
-        logger.info("request body: %s", reason)
+        self._server.caller_events.record(Cause.NO_MEMORY, "request: %s", reason)
         self._is_closing = True
-        self._release_body()
-        pending = PendingRequest(self, self._make_request(), keep_alive=False)
+        request, _ = self._reader.take_request()
+        request.headers = []
+        request.body = b""
+        self._release_received()
+        pending = PendingRequest(self, request, keep_alive=False)
         self._pending.append(pending)
         self._server.refuse(pending)
 
     def abort(self, reason: str) -> None:
         """Reset the connection; answers that are not sent yet are lost."""
-        logger.warning("connection of a caller is reset: %s", reason)
+        self._abort(Cause.NO_MEMORY, reason)
+
+    def _abort(self, cause: Cause, reason: str) -> None:
+        self._server.caller_events.record(cause, "reset: %s", reason)
         self._is_closing = True
         self.transport.abort()
 
-    def _release_body(self) -> None:
-        self._body = bytearray()
-        self._server.body_memory.release(self, BodyStage.RECEIVING_REQUEST)
+    def _release_received(self) -> None:
+        """Free what is held of an incomplete request and of bytes that are not parsed."""
+        self._unparsed = b""
+        self._reader.discard()
+        if self._held_bytes:
+            self._held_bytes = 0
+            self._server.body_memory.release(self, BodyStage.RECEIVING_REQUEST)
 
-    def _refuse(self, status: HTTPStatus) -> None:
+    def _refuse(self, status: HTTPStatus, cause: Cause) -> None:
         """Queue an error answer to an incomplete request and close the connection after it."""
         if self._is_closing:
             return
+        self._server.caller_events.record(cause, "refused with status %d", status)
         self._is_closing = True
-        self._release_body()
+        self._release_received()
         request = CallerRequest(b"GET", b"", "", "", [], b"", self._last_activity_s)
         self._pending.append(
             PendingRequest(self, request, keep_alive=False, answer=CallerAnswer(status))
@@ -353,7 +372,7 @@
         self._pending.clear()
         self._sending = None
         self._unsent = memoryview(b"")
-        self._release_body()
+        self._release_received()
 
     def _close(self) -> None:
         """End the sending side, and read on until the caller closes or a time has passed.
@@ -368,8 +387,7 @@
         self._cancel_pending()
         if self._transport is None or self._transport.is_closing():
             return
-        if self._is_paused:
-            self._transport.resume_reading()
+        self._resume_reading()
         try:
             self._transport.write_eof()
         except OSError:
@@ -383,21 +401,5 @@
             self.transport.close()
 
 
-def _parse_ms(value: bytes) -> float | None:
-    try:
-        return max(0.0, float(value))
-    except ValueError:
-        return None
-
-
-def _find_cookie(value: bytes, name: bytes) -> str:
-    for part in value.split(b";"):
-        key, _, content = part.strip().partition(b"=")
-        if key.lower() == name:
-            return content.decode("latin-1")
-    return ""
-
-
-def _find_content_length(headers: list[Header]) -> int:
-    value = next((value for name, value in headers if name.lower() == b"content-length"), b"")
-    return parse_content_length(value) or 0
+def _answer_bytes(answer: CallerAnswer) -> int:
+    return len(answer.body) + sum(len(name) + len(value) for name, value in answer.headers)
--- a/berylchute/callers.py
+++ b/berylchute/callers.py
@@ -1,11 +1,13 @@
 """Serve callers over HTTP/1.1: listen, and close connections that are idle or late."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 from http import HTTPStatus
 
 from berylchute.bodymemory import BodyMemory
 from berylchute.callerconnection import PIPELINED_REQUESTS_MAX, CallerConnection
+from berylchute.callerlimits import CallerEventLog, RequestLimits
 from berylchute.callermessages import CallerAnswer, CallerRequest, Header, PendingRequest
 from berylchute.headernames import HeaderNames
 from berylchute.listening import listen
@@ -22,6 +24,10 @@
     "PendingRequest",
 ]
 
+logger = logging.getLogger(__name__)
+
+# Read at once from one connection.
+READ_BYTES_MAX = 65_536
 # Short enough for caller timeouts, which are whole seconds.
 TIMEOUT_CHECK_INTERVAL_S = 0.25
 
@@ -36,6 +42,9 @@
         header_names: HeaderNames | None = None,
         body_memory: BodyMemory | None = None,
         refuse: Callable[[PendingRequest], None] | None = None,
+        *,
+        request_limits: RequestLimits | None = None,
+        caller_events: CallerEventLog | None = None,
     ) -> None:
         """Create a server; requests whose body can't be held go to `refuse`."""
         self.handle = handle
@@ -44,6 +53,10 @@
         self.clock = clock
         self.header_names = header_names or HeaderNames()
         self.limits = CallerLimits()
+        self.request_limits = request_limits or RequestLimits()
+        self.caller_events = caller_events or CallerEventLog(logger, clock.now_s)
+        self.read_buffer = bytearray(READ_BYTES_MAX)
+        self.call_soon: Callable[[Callable[[], None]], None] = _call_soon
         self.is_closing = False
         self.connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
@@ -80,3 +93,7 @@
 
 def _refuse(pending: PendingRequest) -> None:
     pending.respond(CallerAnswer(HTTPStatus.SERVICE_UNAVAILABLE))
+
+
+def _call_soon(callback: Callable[[], None]) -> None:
+    asyncio.get_running_loop().call_soon(callback)
