Limit the connections of callers and to servers below max-fds

Cause: nothing limited accepted connections, and `limits.max-fds` was not used. The event loop accepts up to its backlog of 1,024 connections in one turn. A caller that sends a byte now and then without reading kept its answers for ever. Answers in the buffers of transports were not counted.

Change: `ConnectionLimit` closes idle connections and heads left open the longest first, then slow bodies, then callers that don't read; requests in flight stay, and new connections are refused if nothing can be closed. 16 connections are accepted in one turn. Connections to servers have a limit of their own, which counts as no failure of a server. `answerwriter` holds what `callerconnection` had no room for, and counts the transport's buffer.

--- a/berylchute/backends.py
+++ b/berylchute/backends.py
@@ -58,9 +58,11 @@
         zone: str = "",
         zone_regions: Mapping[str, str] | None = None,
         body_memory: BodyMemory | None = None,
+        connections_max: int | None = None,
     ) -> None:
         self._clock = clock
         self._body_memory = body_memory or BodyMemory()
+        self._connections_max = connections_max
         self._own_zone = zone
         self._own_region = (zone_regions or {}).get(zone, "")
         self._zone_regions = zone_regions or {}
@@ -299,10 +301,25 @@
             if policy
             else CONNECTIONS_DEFAULT
         )
-        pool = ConnectionPool(entry.address, self._clock, connections_max, self._body_memory)
+        pool = ConnectionPool(
+            entry.address, self._clock, connections_max, self._body_memory, self._has_room
+        )
         work_time = self._work_times.setdefault(entry.service, WorkTime())
         return Server(entry, pool, work_time=work_time)
 
+    def _has_room(self) -> bool:
+        """Return whether another connection may be opened, maybe in place of an idle one."""
+        if self._connections_max is None:
+            return True
+        pools = [server.pool for server in self._servers.values()]
+        if sum(pool.open_count for pool in pools) < self._connections_max:
+            return True
+        largest = max(pools, key=lambda pool: pool.idle_count)
+        if not largest.idle_count:
+            return False
+        largest.close_idle_one()
+        return True
+
     def _remove(self, server: Server) -> None:
         server.is_replaced = True
         self._opened_to_removed += server.pool.connections_opened
--- a/berylchute/callerconnection.py
+++ b/berylchute/callerconnection.py
@@ -3,23 +3,19 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable
 from http import HTTPStatus
-from typing import Protocol
 
-from berylchute.bodymemory import BodyMemory, BodyStage
+from berylchute.answerwriter import AnswerWriter
+from berylchute.bodymemory import BodyStage
 from berylchute.callerlimits import (
     PART_BYTES,
-    CallerEventLog,
     Cause,
+    ClosingRank,
     ReadPace,
-    RequestLimits,
 )
-from berylchute.callermessages import CallerAnswer, CallerRequest, PendingRequest, encode_head
-from berylchute.headernames import HeaderNames
+from berylchute.callermessages import CallerAnswer, CallerRequest, PendingRequest
+from berylchute.connectionserver import ConnectionServer
 from berylchute.requestreader import RequestReader
-from berylchute.sharedobjects import CallerLimits
-from berylchute.types import Clock
 
 __all__ = ["PIPELINED_REQUESTS_MAX", "CallerConnection", "ConnectionServer"]
 
@@ -28,27 +24,10 @@
 # Pipelined requests in flight on one connection; reading pauses at this number. Browsers and
 # client libraries pipeline far fewer.
 PIPELINED_REQUESTS_MAX = 64
-# Longer bodies are written in parts of this size.
-WRITTEN_BYTES_MAX = 65_536
 # Time for answers on their way to a slow caller after the sending side was ended.
 LINGER_S = 3.0
-
-
-class ConnectionServer(Protocol):
-    """The server of a connection: settings, and where its requests go."""
-
-    clock: Clock
-    header_names: HeaderNames
-    limits: CallerLimits
-    request_limits: RequestLimits
-    is_closing: bool
-    connections: "set[CallerConnection]"
-    body_memory: BodyMemory
-    caller_events: CallerEventLog
-    read_buffer: bytearray
-    handle: Callable[[PendingRequest], None]
-    refuse: Callable[[PendingRequest], None]
-    call_soon: Callable[[Callable[[], None]], None]
+# A caller that has read nothing for this time may be disconnected for others.
+STALLED_S = 1.0
 
 
 class CallerConnection(asyncio.BufferedProtocol):
@@ -68,9 +47,8 @@
         self.is_closed = False
         self._is_lingering = False
         self._linger_until_s = 0.0
-        self._sending: PendingRequest | None = None
-        self._unsent = memoryview(b"")
-        self._is_writing_paused = False
+        self._is_reported = False
+        self._writer = AnswerWriter(server.body_memory, self.abort)
 
     # asyncio.BufferedProtocol
 
@@ -79,20 +57,23 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._server.connections.add(self)
+        self._server.connection_limit.add(self, is_reserved=self._server.is_reserved)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the unanswered requests of the connection."""
         self.is_closed = True
         self._server.connections.discard(self)
+        self._server.connection_limit.remove(self)
         self._cancel_pending()
+        self._writer.release_buffered()
 
     def pause_writing(self) -> None:
         """Write no more for now: the caller reads more slowly."""
-        self._is_writing_paused = True
+        self._writer.paused_s = self._server.clock.now_s()
 
     def resume_writing(self) -> None:
         """Write what waits for the caller."""
-        self._is_writing_paused = False
+        self._writer.paused_s = None
         self._last_activity_s = self._server.clock.now_s()
         self._flush()
 
@@ -190,7 +171,7 @@
         """Refuse a declared length that finds no room; else invite a caller that waits to send."""
         if not self._server.body_memory.may_receive(body_bytes):
             self.drop_body(f"no room for {body_bytes} bytes")
-        elif expect_lines and not self._pending and not self._is_writing_paused:
+        elif expect_lines and not self._pending and self._writer.paused_s is None:
             answers = min(expect_lines, self._server.request_limits.interim_answers_max)
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n" * answers)
 
@@ -212,7 +193,7 @@
         if self._is_pipeline_full():
             self._pause_reading()
         if not body_memory.may_start(size_bytes):
-            server.caller_events.record(Cause.NO_MEMORY, "no room for %d bytes", size_bytes)
+            self._report(Cause.NO_MEMORY, f"no room for {size_bytes} bytes")
             server.refuse(pending)
             return
         body_memory.hold(pending, BodyStage.IN_FLIGHT_REQUEST, size_bytes)
@@ -230,24 +211,28 @@
         body_memory = self._server.body_memory
         body_memory.release(pending, BodyStage.IN_FLIGHT_REQUEST)
         self._flush()
-        is_waiting = pending is self._sending or pending in self._pending
-        if is_waiting and pending.answer is not None:
-            if pending is not self._sending:
+        is_sending = pending is self._writer.sending
+        if pending.answer is not None and (is_sending or pending in self._pending):
+            if not is_sending:
                 # Only the method is still needed.
-                pending.request = CallerRequest(
-                    pending.request.method, b"", "", "", [], b"", pending.request.received_s
-                )
-            body_memory.hold(pending, BodyStage.SENDING_ANSWER, _answer_bytes(pending.answer))
+                pending.request = CallerRequest.empty(pending.request.method, self._last_activity_s)
+            body_memory.hold(pending, BodyStage.SENDING_ANSWER, pending.answer.size_bytes)
 
     def _flush(self) -> None:
         """Send the answers whose earlier requests are all answered, as fast as the caller reads."""
-        transport = self._transport
+        transport, writer = self._transport, self._writer
         if transport is None or self.is_closed or self._is_lingering:
             return
-        self._write_body()
-        while self._pending and self._pending[0].answer is not None and self._can_write():
-            self._write_answer(self._pending.popleft())
-        if self._unsent:
+        if writer.is_unsent:
+            writer.write_more(transport)
+        while self._pending and self._pending[0].answer is not None and writer.can_write:
+            pending = self._pending.popleft()
+            is_last = not pending.keep_alive or (self._server.is_closing and not self._pending)
+            self._is_closing = self._is_closing or is_last
+            self._last_activity_s = self._server.clock.now_s()
+            writer.write(transport, pending, is_last)
+        writer.count_buffered(transport)
+        if writer.is_unsent:
             return
         if self._is_closing and not self._pending:
             self._close()
@@ -257,57 +242,31 @@
             else:
                 self._resume_reading()
 
-    def _can_write(self) -> bool:
-        return not self._unsent and not self._is_writing_paused and not self.is_closed
-
-    def _write_answer(self, pending: PendingRequest) -> None:
-        assert pending.answer is not None
-        answer = pending.answer
-        is_last = not pending.keep_alive or (self._server.is_closing and not self._pending)
-        self._is_closing = self._is_closing or is_last
-        self._last_activity_s = self._server.clock.now_s()
-        head = encode_head(answer, is_last)
-        body = answer.body if answer.has_body and pending.request.method != b"HEAD" else b""
-        self._sending = pending
-        if len(body) <= WRITTEN_BYTES_MAX:
-            self.transport.write(head + body)
-        else:
-            self.transport.write(head)
-            self._unsent = memoryview(body)
-        self._write_body()
-
-    def _write_body(self) -> None:
-        """Write a long body in parts, each when the former ones are sent: buffers would copy it."""
-        while self._unsent and not self._is_writing_paused and not self.is_closed:
-            self.transport.write(self._unsent[:WRITTEN_BYTES_MAX])
-            self._unsent = self._unsent[WRITTEN_BYTES_MAX:]
-        if not self._unsent and self._sending is not None:
-            self._server.body_memory.release(self._sending, BodyStage.SENDING_ANSWER)
-            self._sending = None
-            # An empty view would still hold the whole body.
-            self._unsent = memoryview(b"")
-
-    def close_if_idle(self) -> None:
-        """Close the connection if no request is in flight or partly received."""
-        if not self._pending and not self._unsent and self._reader.started_s is None:
-            self._close()
-
     @property
     def transport(self) -> asyncio.Transport:
         """Return the transport; only valid after `connection_made`."""
         assert self._transport is not None
         return self._transport
 
+    # closing
+
+    def close_if_idle(self) -> None:
+        """Close the connection if no request is in flight or partly received."""
+        if not self._pending and not self._writer.is_unsent and self._reader.started_s is None:
+            self._close()
+
     def close_if_timed_out(self, now_s: float) -> None:
         """Close the connection if it exceeds a timeout; a partial request gets status 408."""
         limits = self._server.limits
         idle_s = now_s - self._last_activity_s
+        self._writer.count_buffered(self.transport)
         if self._is_lingering:
             if now_s > self._linger_until_s:
                 self._end_lingering()
-        elif self._is_writing_paused:
-            if idle_s > limits.idle_timeout_s:
-                self._abort(Cause.NOT_READING, f"it has read nothing for {idle_s:.1f} s")
+        elif self._writer.paused_s is not None:
+            stalled_s = now_s - self._writer.paused_s
+            if stalled_s > limits.idle_timeout_s:
+                self._abort(Cause.NOT_READING, f"it has read nothing for {stalled_s:.1f} s")
         elif self._reader.started_s is not None:
             is_head_late = self._reader.is_reading_head and (
                 now_s - self._reader.started_s > limits.header_timeout_s
@@ -317,11 +276,52 @@
         elif not self._pending and idle_s > limits.idle_timeout_s:
             self._close()
 
+    def closing_rank(self, now_s: float) -> tuple[ClosingRank, float] | None:
+        """Return whether the connection may be closed for others; see ClosableConnection."""
+        if self._is_lingering:
+            return ClosingRank.LINGERING, self._linger_until_s
+        reader, paused_s = self._reader, self._writer.paused_s
+        if self._pending or self._writer.is_unsent:
+            is_in_flight = any(pending.answer is None for pending in self._pending)
+            if is_in_flight or paused_s is None or now_s - paused_s < STALLED_S:
+                return None
+            return ClosingRank.NOT_READING, paused_s
+        if reader.started_s is None:
+            return ClosingRank.QUIET, self._last_activity_s
+        if reader.is_reading_head:
+            return ClosingRank.QUIET, reader.started_s
+        return (ClosingRank.SLOW_BODY, reader.started_s) if reader.is_slow(now_s) else None
+
+    def give_up(self) -> None:
+        """Close the connection for others; an incomplete request is refused as not run."""
+        if self._reader.started_s is None:
+            self.close_if_idle()
+        else:
+            self._refuse_received()
+
+    def reset(self) -> None:
+        """Close the connection at once; what it carries is lost."""
+        self._is_closing = True
+        self.transport.abort()
+
+    def abort(self, reason: str) -> None:
+        """Reset the connection; answers that are not sent yet are lost."""
+        self._abort(Cause.NO_MEMORY, reason)
+
+    def _abort(self, cause: Cause, reason: str) -> None:
+        self._report(cause, f"reset: {reason}")
+        self.reset()
+
     def drop_body(self, reason: str) -> None:
-        """Refuse a request whose body can't be held any longer; implements BodyHolder."""
+        """Refuse a request that can't be held any longer; implements BodyHolder."""
+        if not self._is_closing:
+            self._report(Cause.NO_MEMORY, f"request: {reason}")
+            self._refuse_received()
+
+    def _refuse_received(self) -> None:
+        """Refuse an incomplete request as not run and close the connection after the answer."""
         if self._is_closing:
             return
-        self._server.caller_events.record(Cause.NO_MEMORY, "request: %s", reason)
         self._is_closing = True
         request, _ = self._reader.take_request()
         request.headers = []
@@ -331,47 +331,43 @@
         self._pending.append(pending)
         self._server.refuse(pending)
 
-    def abort(self, reason: str) -> None:
-        """Reset the connection; answers that are not sent yet are lost."""
-        self._abort(Cause.NO_MEMORY, reason)
-
-    def _abort(self, cause: Cause, reason: str) -> None:
-        self._server.caller_events.record(cause, "reset: %s", reason)
-        self._is_closing = True
-        self.transport.abort()
-
-    def _release_received(self) -> None:
-        """Free what is held of an incomplete request and of bytes that are not parsed."""
-        self._unparsed = b""
-        self._reader.discard()
-        if self._held_bytes:
-            self._held_bytes = 0
-            self._server.body_memory.release(self, BodyStage.RECEIVING_REQUEST)
-
     def _refuse(self, status: HTTPStatus, cause: Cause) -> None:
         """Queue an error answer to an incomplete request and close the connection after it."""
         if self._is_closing:
             return
-        self._server.caller_events.record(cause, "refused with status %d", status)
+        self._report(cause, f"refused with status {status.value}")
         self._is_closing = True
         self._release_received()
-        request = CallerRequest(b"GET", b"", "", "", [], b"", self._last_activity_s)
+        request = CallerRequest.empty(b"GET", self._last_activity_s)
         self._pending.append(
             PendingRequest(self, request, keep_alive=False, answer=CallerAnswer(status))
         )
         self._flush()
 
+    def _report(self, cause: Cause, text: str) -> None:
+        peer = self.transport.get_extra_info("peername")
+        is_logged = not self._is_reported
+        self._is_reported = True
+        self._server.caller_events.record(cause, f"{peer}: {text}", is_logged=is_logged)
+
+    def _release_received(self) -> None:
+        """Free what is held of an incomplete request and of bytes that are not parsed."""
+        self._unparsed = b""
+        self._reader.discard()
+        if self._held_bytes:
+            self._held_bytes = 0
+            self._server.body_memory.release(self, BodyStage.RECEIVING_REQUEST)
+
     def _cancel_pending(self) -> None:
-        """Cancel the unanswered requests and release the bodies that are held for all."""
+        """Cancel the unanswered requests and release what is held for all."""
         body_memory = self._server.body_memory
-        for pending in (*self._pending, *filter(None, (self._sending,))):
+        for pending in self._pending:
             if pending.answer is None and pending.cancel is not None:
                 pending.cancel()
             body_memory.release(pending, BodyStage.IN_FLIGHT_REQUEST)
             body_memory.release(pending, BodyStage.SENDING_ANSWER)
         self._pending.clear()
-        self._sending = None
-        self._unsent = memoryview(b"")
+        self._writer.release_sending()
         self._release_received()
 
     def _close(self) -> None:
@@ -399,7 +395,3 @@
             self.transport.abort()
         else:
             self.transport.close()
-
-
-def _answer_bytes(answer: CallerAnswer) -> int:
-    return len(answer.body) + sum(len(name) + len(value) for name, value in answer.headers)
--- a/berylchute/callerlimits/__init__.py
+++ b/berylchute/callerlimits/__init__.py
@@ -1,6 +1,14 @@
 """Bound the memory, connections and event-loop work of untrusted callers."""
 
 from berylchute.callerlimits.causes import CallerEventLog, Cause
+from berylchute.callerlimits.connections import (
+    ClosableConnection,
+    ClosingRank,
+    ConnectionBounds,
+    ConnectionLimit,
+    bound_connections,
+    choose_to_close,
+)
 from berylchute.callerlimits.costs import (
     CONNECTION_BYTES,
     WAITING_ANSWER_BYTES,
@@ -8,12 +16,14 @@
     cost_request,
 )
 from berylchute.callerlimits.dropping import SMALL_BYTES, AccountBounds, BodyStage, choose_dropped
+from berylchute.callerlimits.guard import MAX_FDS_DEFAULT, CallerGuard
 from berylchute.callerlimits.heads import UNPACKED_LINES_MAX, HeaderLines
 from berylchute.callerlimits.limits import RequestLimits
 from berylchute.callerlimits.pace import PART_BYTES, ReadPace
 
 __all__ = [
     "CONNECTION_BYTES",
+    "MAX_FDS_DEFAULT",
     "PART_BYTES",
     "SMALL_BYTES",
     "UNPACKED_LINES_MAX",
@@ -21,11 +31,18 @@
     "AccountBounds",
     "BodyStage",
     "CallerEventLog",
+    "CallerGuard",
     "Cause",
+    "ClosableConnection",
+    "ClosingRank",
+    "ConnectionBounds",
+    "ConnectionLimit",
     "HeaderLines",
     "ReadPace",
     "RequestLimits",
+    "bound_connections",
     "choose_dropped",
+    "choose_to_close",
     "cost_incomplete_head",
     "cost_request",
 ]
--- a/berylchute/callerlimits/causes.py
+++ b/berylchute/callerlimits/causes.py
@@ -43,9 +43,11 @@
         self.counts: Counter[Cause] = Counter()
         self.lines_dropped = 0
 
-    def record(self, cause: Cause, text: str, *arguments: object) -> None:
+    def record(self, cause: Cause, text: str, *, is_logged: bool = True) -> None:
         """Count a refused request or a closed connection, and log it unless the rate is high."""
         self.counts[cause] += 1
+        if not is_logged:
+            return
         second = int(self._now_s())
         if second != self._second:
             self._second, self._lines = second, 0
@@ -53,4 +55,4 @@
             self.lines_dropped += 1
             return
         self._lines += 1
-        self._logger.warning("connection of a caller: %s: " + text, cause.value, *arguments)
+        self._logger.warning("connection of a caller: %s: %s", cause.value, text)
--- a/berylchute/callermessages.py
+++ b/berylchute/callermessages.py
@@ -51,6 +51,11 @@
     affinity_key: str = ""
     time_left_ms: float | None = None
 
+    @classmethod
+    def empty(cls, method: bytes, received_s: float) -> "CallerRequest":
+        """Return a request of which nothing but the method is known or needed."""
+        return cls(method, b"", "", "", [], b"", received_s)
+
 
 @attrs.frozen
 class CallerAnswer:
@@ -65,6 +70,11 @@
         """Return whether an answer with this status has a body, maybe an empty one."""
         return self.status not in _BODILESS_STATUSES
 
+    @property
+    def size_bytes(self) -> int:
+        """Return the bytes of the headers and the body."""
+        return len(self.body) + sum(len(name) + len(value) for name, value in self.headers)
+
 
 class RequestConnection(Protocol):
     """The connection of a request, as far as its answer needs it."""
--- a/berylchute/callers.py
+++ b/berylchute/callers.py
@@ -1,16 +1,15 @@
 """Serve callers over HTTP/1.1: listen, and close connections that are idle or late."""
 
 import asyncio
-import logging
 from collections.abc import Callable
 from http import HTTPStatus
 
 from berylchute.bodymemory import BodyMemory
 from berylchute.callerconnection import PIPELINED_REQUESTS_MAX, CallerConnection
-from berylchute.callerlimits import CallerEventLog, RequestLimits
+from berylchute.callerlimits import CallerGuard
 from berylchute.callermessages import CallerAnswer, CallerRequest, Header, PendingRequest
 from berylchute.headernames import HeaderNames
-from berylchute.listening import listen
+from berylchute.listening import listen, open_server
 from berylchute.sharedobjects import CallerLimits
 from berylchute.types import Clock
 
@@ -24,8 +23,6 @@
     "PendingRequest",
 ]
 
-logger = logging.getLogger(__name__)
-
 # Read at once from one connection.
 READ_BYTES_MAX = 65_536
 # Short enough for caller timeouts, which are whole seconds.
@@ -43,18 +40,25 @@
         body_memory: BodyMemory | None = None,
         refuse: Callable[[PendingRequest], None] | None = None,
         *,
-        request_limits: RequestLimits | None = None,
-        caller_events: CallerEventLog | None = None,
+        guard: CallerGuard | None = None,
+        is_reserved: bool = False,
     ) -> None:
-        """Create a server; requests whose body can't be held go to `refuse`."""
+        """Create a server; requests that can't be held go to `refuse`.
+
+        Servers of one process share a `guard`. An address with `is_reserved` accepts a few
+        connections beyond the limit of all.
+        """
         self.handle = handle
         self.refuse = refuse or _refuse
         self.body_memory = body_memory or BodyMemory()
         self.clock = clock
         self.header_names = header_names or HeaderNames()
         self.limits = CallerLimits()
-        self.request_limits = request_limits or RequestLimits()
-        self.caller_events = caller_events or CallerEventLog(logger, clock.now_s)
+        guard = guard or CallerGuard(clock.now_s)
+        self.request_limits = guard.limits
+        self.caller_events = guard.events
+        self.connection_limit = guard.connections
+        self.is_reserved = is_reserved
         self.read_buffer = bytearray(READ_BYTES_MAX)
         self.call_soon: Callable[[Callable[[], None]], None] = _call_soon
         self.is_closing = False
@@ -67,9 +71,12 @@
 
     async def _bind(self, address: str) -> None:
         host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: CallerConnection(self), host, int(port), backlog=1024
+        self._server = await open_server(
+            lambda: CallerConnection(self),
+            host,
+            int(port),
+            self.request_limits.receive_buffer_bytes,
+            self.request_limits.send_buffer_bytes,
         )
 
     def stop_listening(self) -> None:
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -14,6 +14,7 @@
 from berylchute.backends import Backends
 from berylchute.background import BackgroundTasks
 from berylchute.bodymemory import BodyMemory
+from berylchute.callerlimits import CallerGuard
 from berylchute.callers import CallerAnswer, CallerServer, PendingRequest
 from berylchute.collection import Collection, CollectionFeed, CollectionStore
 from berylchute.directory import Directory
@@ -92,11 +93,18 @@
         )
         self._routes = RouteIndex()
         self._body_memory = BodyMemory(settings.node.host.memory_mb)
+        self._guard = CallerGuard(
+            self._clock.now_s,
+            limits=settings.request_limits,
+            max_fds=settings.max_fds,
+            memory_mb=settings.node.host.memory_mb,
+        )
         self._backends = Backends(
             self._clock,
             settings.node.host.availability_zone,
             settings.zone_regions,
             self._body_memory,
+            self._guard.bounds.servers_max,
         )
         self._directory = Directory()
         self._discovery = MemberDiscovery(self._clock, settings.zone_regions)
@@ -131,6 +139,7 @@
             settings.header_names,
             self._body_memory,
             self._handler.refuse,
+            guard=self._guard,
         )
         self._caller_servers = {settings.node.listen.http: self._caller_server}
         self._signalled = anyio.Event()
@@ -190,7 +199,12 @@
     def listen(self, address: str, handle: Callable[[PendingRequest], None]) -> None:
         """Also pass the requests that arrive on `ip:port` to `handle`; call before `serve`."""
         self._caller_servers[address] = CallerServer(
-            handle, self._clock, self._settings.header_names, self._body_memory
+            handle,
+            self._clock,
+            self._settings.header_names,
+            self._body_memory,
+            guard=self._guard,
+            is_reserved=True,
         )
 
     async def serve(self, signals: ProcessSignals) -> None:
--- a/berylchute/edgesettings.py
+++ b/berylchute/edgesettings.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from berylchute.callerlimits import MAX_FDS_DEFAULT, RequestLimits
 from berylchute.headernames import HeaderNames
 from berylchute.retrybudget import RetryBounds
 from berylchute.settings import Settings
@@ -19,6 +20,7 @@
     `zone_regions` maps availability zones to regions. `grace_s` is the time from the stop signal
     to the kill, `change_apply_s` the time from the store's acknowledgement of a change until all
     members must follow it. `metrics_address` is `ip:port`; metrics are not served if it is empty.
+    `max_fds` is the number of descriptors that the process may have open, with files.
     """
 
     node: Settings
@@ -28,3 +30,5 @@
     metrics_address: str = ""
     header_names: HeaderNames = HeaderNames()
     change_apply_s: float = CHANGE_APPLY_DEFAULT_S
+    request_limits: RequestLimits = RequestLimits()
+    max_fds: int = MAX_FDS_DEFAULT
--- a/berylchute/exceptions.py
+++ b/berylchute/exceptions.py
@@ -12,6 +12,7 @@
     "ExchangeError",
     "HistoryGone",
     "ListenError",
+    "NoConnectionLeft",
     "NotSent",
     "PeerError",
     "RoutingError",
@@ -117,6 +118,10 @@
     code = "not_sent"
 
 
+class NoConnectionLeft(NotSent):
+    """No more connections may be opened from here, which is no failure of the server."""
+
+
 class AnswerLost(ExchangeError):
     """The request was sent and no complete answer arrived; it may have run."""
 
--- a/berylchute/listening.py
+++ b/berylchute/listening.py
@@ -1,19 +1,25 @@
 """Listen on an address, also if another process holds it for a while."""
 
+import asyncio
 import errno
 import logging
 import os
+import socket
 from collections.abc import Awaitable, Callable
 
 import anyio
 
 from berylchute.exceptions import ListenError
 
-__all__ = ["listen"]
+__all__ = ["listen", "open_server"]
 
 # Longer than a process may take to stop, so that the one started in its place comes up.
 RETRY_MAX_S = 10.0
 RETRY_PERIOD_S = 0.1
+# Connections that wait to be accepted, and those accepted in one turn of the event loop. A limit on
+# open connections sees the accepted ones two turns later.
+BACKLOG = 1_024
+ACCEPTED_MAX = 16
 _PASSING_ERRORS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
 
 logger = logging.getLogger(__name__)
@@ -41,3 +47,27 @@
             if is_retry:
                 logger.warning("listening on %s after all", address)
             return
+
+
+async def open_server(
+    make_protocol: Callable[[], asyncio.BaseProtocol],
+    host: str,
+    port: int,
+    receive_buffer_bytes: int,
+    send_buffer_bytes: int,
+) -> asyncio.Server:
+    """Serve a TCP address; the kernel's buffers of each connection have fixed sizes."""
+    loop = asyncio.get_running_loop()
+    # The event loop accepts as many connections at once as its backlog.
+    server = await loop.create_server(
+        make_protocol, host, port, backlog=ACCEPTED_MAX, start_serving=False
+    )
+    for listener in server.sockets:
+        # Accepted sockets inherit the options.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes)
+    await server.start_serving()
+    for listener in server.sockets:
+        with socket.socket(fileno=os.dup(listener.fileno())) as duplicate:
+            duplicate.listen(BACKLOG)
+    return server
--- a/berylchute/requestreader.py
+++ b/berylchute/requestreader.py
@@ -27,6 +27,9 @@
 __all__ = ["ReaderSettings", "Refusal", "RequestReader"]
 
 _LINE_ENDS = b"\r\n"
+# A body below this rate is slow, after a time for its start. A modem of 56 kbit/s is faster.
+SLOW_BYTES_PER_S = 4_096
+SLOW_AFTER_S = 2.0
 
 
 class ReaderSettings(Protocol):
@@ -174,6 +177,11 @@
         """Return how many bytes of a body of declared length are still to come."""
         return 0 if self.is_reading_head else max(0, self._length - len(self._body))
 
+    def is_slow(self, now_s: float) -> bool:
+        """Return whether the body arrives too slowly to keep a connection that others need."""
+        lasted_s = now_s - (self.started_s if self.started_s is not None else now_s)
+        return len(self._body) < SLOW_BYTES_PER_S * (lasted_s - SLOW_AFTER_S)
+
     def held_bytes(self) -> int:
         """Return the memory of the incomplete request."""
         if not self._has_begun:
--- a/berylchute/servertracker.py
+++ b/berylchute/servertracker.py
@@ -5,7 +5,7 @@
 from berylchute.attempts import Outcome
 from berylchute.backends import Backends
 from berylchute.eventlog import EventLog
-from berylchute.exceptions import ExchangeError
+from berylchute.exceptions import ExchangeError, NoConnectionLeft
 from berylchute.headernames import HeaderNames
 from berylchute.servers import ReportedLoad, Server, parse_pause_s, parse_rate_limit
 from berylchute.types import Clock
@@ -52,6 +52,8 @@
 
     def record_failure(self, server: Server, error: ExchangeError) -> None:
         """Record that an attempt was not sent or got no usable answer."""
+        if isinstance(error, NoConnectionLeft):
+            return
         now_s = self._clock.now_s()
         if not server.failures:
             self._backends.record_disruption(server.entry.service, now_s)
--- a/berylchute/upstream.py
+++ b/berylchute/upstream.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from berylchute.bodymemory import BodyMemory
-from berylchute.exceptions import NotSent
+from berylchute.exceptions import NoConnectionLeft, NotSent
 from berylchute.serverconnection import IDLE_TIMEOUT_DEFAULT_S, ServerConnection
 from berylchute.types import Clock
 from berylchute.upstreammessages import ServerAnswer, UpstreamRequest
@@ -28,13 +29,18 @@
         clock: Clock,
         connections_max: int,
         body_memory: BodyMemory | None = None,
+        has_room: Callable[[], bool] | None = None,
     ) -> None:
-        """Create a pool without connections; pools may share an `body_memory`."""
+        """Create a pool without connections; pools may share an `body_memory`.
+
+        `has_room` returns whether the process may open another connection.
+        """
         host, _, port = address.rpartition(":")
         self._host, self._port = host.removeprefix("[").removesuffix("]"), int(port)
         self._clock = clock
         self._connections_max = connections_max
         self._body_memory = body_memory or BodyMemory()
+        self._has_room = has_room or (lambda: True)
         self._idle: list[ServerConnection] = []
         self._open: set[ServerConnection] = set()
         self._connecting = 0
@@ -55,9 +61,7 @@
 
     async def _exchange_alone(self, request: UpstreamRequest) -> ServerAnswer:
         if self._idle and self._is_full():
-            idle = self._idle.pop(0)
-            idle.abort()
-            self._open.discard(idle)
+            self.close_idle_one()
         connection = await self._connect()
         try:
             return await connection.exchange(request)
@@ -88,6 +92,22 @@
             connection.idle_until_s = self._clock.now_s() + IDLE_TIMEOUT_DEFAULT_S
             self._idle.insert(0, connection)
 
+    @property
+    def open_count(self) -> int:
+        """Return the number of open connections, with those that are being opened."""
+        return len(self._open) + self._connecting
+
+    @property
+    def idle_count(self) -> int:
+        """Return the number of idle connections."""
+        return len(self._idle)
+
+    def close_idle_one(self) -> None:
+        """Close the connection that has been idle longest."""
+        idle = self._idle.pop(0)
+        idle.abort()
+        self._open.discard(idle)
+
     def close(self) -> None:
         """Close idle connections; connections in use are closed when their exchange ends."""
         for connection in self._open:
@@ -119,11 +139,13 @@
         return None
 
     def _is_full(self) -> bool:
-        return len(self._open) + self._connecting >= self._connections_max
+        return self.open_count >= self._connections_max
 
     async def _connect(self) -> ServerConnection:
         if self._is_full():
             raise NotSent("connection limit of the server is reached")
+        if not self._has_room():
+            raise NoConnectionLeft("connection limit of this process is reached")
         loop = asyncio.get_running_loop()
         started_s = self._clock.now_s()
         self._connecting += 1
