Show what callers hold and are refused for in metrics

Cause: nothing told an operator which part of the memory is full, who fills it, and what callers were refused for.

Change: counters by cause and gauges of the memory account by stage, with fixed labels, and of callers' connections.

--- a/berylchute/bodymemory.py
+++ b/berylchute/bodymemory.py
@@ -4,6 +4,7 @@
 and servers that send bodies without end.
 """
 
+from collections.abc import Mapping
 from typing import Protocol
 
 from berylchute.answerlimits import ANSWER_BYTES_MAX, MEMORY_DEFAULT_MB, AnswerLimits
@@ -64,6 +65,10 @@
         """Return the held bytes with the objects of answers that wait for their callers."""
         return self.held_bytes + WAITING_ANSWER_BYTES * len(self._sending)
 
+    def held_by_stage(self) -> Mapping[BodyStage, int]:
+        """Return the bytes that are held in each stage."""
+        return {stage: sum(held.values()) for stage, held in self._held.items()}
+
     def may_receive(self, size_bytes: int) -> bool:
         """Return whether a request with a body of a declared size would find room now."""
         if size_bytes <= SMALL_BYTES:
--- a/berylchute/callerlimits/__init__.py
+++ b/berylchute/callerlimits/__init__.py
@@ -1,5 +1,6 @@
 """Bound the memory, connections and event-loop work of untrusted callers."""
 
+from berylchute.callerlimits.callermetrics import CallerState, caller_metrics
 from berylchute.callerlimits.causes import CallerEventLog, Cause
 from berylchute.callerlimits.connections import (
     ClosableConnection,
@@ -32,6 +33,7 @@
     "BodyStage",
     "CallerEventLog",
     "CallerGuard",
+    "CallerState",
     "Cause",
     "ClosableConnection",
     "ClosingRank",
@@ -41,6 +43,7 @@
     "ReadPace",
     "RequestLimits",
     "bound_connections",
+    "caller_metrics",
     "choose_dropped",
     "choose_to_close",
     "cost_incomplete_head",
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -23,6 +23,7 @@
 from berylchute.edgesettings import EdgeSettings
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import ConfigError, ListenError, SettingsError, first_error
+from berylchute.memberlog import MemberLog
 from berylchute.membership import MembershipTiming
 from berylchute.node import BootClock, Node
 from berylchute.processsignals import ProcessSignals
@@ -37,7 +38,7 @@
 from berylchute.spillshare import SpillLimiter
 from berylchute.stoptimes import StopTimes
 from berylchute.storecontact import StoreContact, StoreProbe
-from berylchute.types import MemberStatus, StoredObject
+from berylchute.types import StoredObject
 
 __all__ = ["Edge", "EdgeSettings"]
 
@@ -147,7 +148,7 @@
         self._is_stopping = False
         self._published_ready = False
         self._updated_at_s: dict[str, float] = {}
-        self._logged_members: Sequence[MemberStatus] = ()
+        self._member_log = MemberLog(self._log)
         self._metrics.read_state = self._read_state
         if settings.metrics_address:
             self.listen(settings.metrics_address, self._answer_metrics)
@@ -323,7 +324,7 @@
         is_watching = False
         while True:
             members = self._node.members.list_members()
-            self._log_members(members)
+            self._member_log.update(members)
             self._directory.update(members)
             self._discovery.update(is_joined=self._node.is_joined)
             self._server_limits.update_members(members)
@@ -350,15 +351,6 @@
             self._node.set_ready(self._published_ready)
             self._log.event("ready", ready=self._published_ready)
 
-    def _log_members(self, members: Sequence[MemberStatus]) -> None:
-        if members is self._logged_members:
-            return
-        before = {status.record.host_id: status.state for status in self._logged_members}
-        self._logged_members = members
-        for status in members:
-            if before.get(status.record.host_id) is not status.state:
-                self._log.event("member", member=status.record.host_id, state=status.state)
-
     async def _flush_forever(self) -> None:
         while True:
             await anyio.sleep(LOG_FLUSH_S)
@@ -413,6 +405,7 @@
         """Return the state for the metrics collector."""
         table = self._routes.table
         now_s = self._clock.now_s()
+        readers: list[CollectionFeed | StoreProbe] = [*self._feeds, self._probe]
         return EdgeState(
             requests_in_flight=self._handler.in_flight,
             routes_number=table.number if table else 0,
@@ -423,17 +416,12 @@
             object_ages_s={
                 key: now_s - updated_at_s for key, updated_at_s in self._updated_at_s.items()
             },
-            store_calls={
-                **{feed.name: feed.calls for feed in self._feeds},
-                "probe": self._probe.calls,
-            },
-            store_failures={
-                **{feed.name: feed.failures for feed in self._feeds},
-                "probe": self._probe.failures,
-            },
+            store_calls={feed.name: feed.calls for feed in readers},
+            store_failures={feed.name: feed.failures for feed in readers},
             region_sends=self._region_sends.counts,
             connections_opened=self._backends.connections_opened(),
             log_lines_dropped_full=self._log.lines_dropped_buffer_full,
             log_lines_dropped_rate=self._log.lines_dropped_over_rate,
             log_lines_dropped_unwritable=self._log.lines_dropped_unwritable,
+            callers=self._guard.read_state(self._body_memory),
         )
--- a/berylchute/edgemetrics.py
+++ b/berylchute/edgemetrics.py
@@ -7,6 +7,7 @@
 from prometheus_client.metrics_core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
+from berylchute.callerlimits import CallerState, caller_metrics
 from berylchute.types import MemberState
 
 __all__ = ["EdgeMetrics", "EdgeState"]
@@ -38,6 +39,7 @@
     log_lines_dropped_full: int = 0
     log_lines_dropped_rate: int = 0
     log_lines_dropped_unwritable: int = 0
+    callers: CallerState = CallerState()
 
 
 class _StateCollector(Collector):
@@ -71,7 +73,8 @@
         )
         for key, age_s in state.object_ages_s.items():
             ages.add_metric([key], age_s)
-        return [members, dropped, ages, *_gauges(state), *_counters(state)]
+        callers = caller_metrics(state.callers)
+        return [members, dropped, ages, *_gauges(state), *_counters(state), *callers]
 
 
 def _gauges(state: EdgeState) -> list[Metric]:
--- a/berylchute/storecontact.py
+++ b/berylchute/storecontact.py
@@ -68,6 +68,9 @@
 class StoreProbe:
     """Probe the store while this process watches it, and report each answer to the members."""
 
+    # In counts of calls to the store by collection.
+    name = "probe"
+
     def __init__(
         self,
         store: ProbedStore,
--- a/tests/test_callerconnections.py
+++ b/tests/test_callerconnections.py
@@ -18,6 +18,7 @@
     choose_to_close,
 )
 from berylchute.callers import CallerAnswer, CallerConnection, CallerServer, PendingRequest
+from berylchute.edgemetrics import EdgeMetrics, EdgeState
 from tests.httpfakes import FakeTransport, ManualClock
 
 LINGERING, QUIET = ClosingRank.LINGERING, ClosingRank.QUIET
@@ -236,3 +237,20 @@
     world.requests[1].respond(CallerAnswer(200, body=bytes(20_000)))
     world.opened[0].connection_lost(None)
     assert world.server.body_memory.held_bytes == 0
+
+
+def test_metrics_show_every_cause_and_stage() -> None:
+    # Guard against labels that come from callers, and causes that appear only after the first.
+    world = _World(callers_max=7)
+    world.connect(b"GET / HTTP/1.1\r\nX: ")
+    world.connect(b"NONSENSE\r\n\r\n")
+    metrics = EdgeMetrics()
+    state = EdgeState(callers=world.guard.read_state(world.server.body_memory))
+    metrics.read_state = lambda: state
+    lines = metrics.render().decode().splitlines()
+    for cause in Cause:
+        count = 1.0 if cause is Cause.MALFORMED else 0.0
+        assert f'berylchute_edge_caller_refusals_total{{cause="{cause}"}} {count}' in lines
+    held = [line for line in lines if line.startswith("berylchute_edge_memory_held_bytes{")]
+    assert len(held) == len(BodyStage) and not held[0].endswith(" 0.0")
+    assert "berylchute_edge_caller_connections_count 2.0" in lines
