Bound the kernel's buffers of callers' connections

Cause: bytes that a process has not read, and assumedly those that its callers have not, count as its memory. The kernel lets a connection's buffers grow to megabytes, and a busy or paused process reads none.

Change: 64 KiB for unread bytes of a connection (doubled by the kernel), at most 32 KiB that are not sent; the limit of connections by memory counts half of the first.

--- a/berylchute/callerlimits/connections.py
+++ b/berylchute/callerlimits/connections.py
@@ -29,7 +29,7 @@
 CALLERS_RATIO = 0.45
 SERVERS_RATIO = 0.4
 # Ratio of the memory that connections of callers may take, beside the memory account.
-MEMORY_RATIO = 0.1
+MEMORY_RATIO = 0.15
 # Idle connections are closed from this part of the limit on, early enough that callers see it.
 EARLY_RATIO = 0.9
 # Connections to addresses other than the callers' one, beyond the limit.
--- a/berylchute/callerlimits/costs.py
+++ b/berylchute/callerlimits/costs.py
@@ -21,8 +21,9 @@
 INCOMPLETE_COPIES = 2
 # An answer that waits until the caller reads, without its body.
 WAITING_ANSWER_BYTES = 4_000
-# A connection with its parser, transport, socket object and write buffer.
-CONNECTION_BYTES = 24_000
+# A connection with its parser, transport and socket object takes 8 kB; half of the kernel's buffer
+# for unread bytes is added, since few connections fill theirs at the same time.
+CONNECTION_BYTES = 10_000 + 32_768
 
 
 def cost_incomplete_head(unpacked_lines: int, size_bytes: int) -> int:
--- a/berylchute/callerlimits/limits.py
+++ b/berylchute/callerlimits/limits.py
@@ -34,6 +34,8 @@
     # Bytes and parsed lines, chunks and requests of one connection in one turn of the event loop.
     turn_bytes_max: int = 65_536
     turn_events_max: int = 1_024
-    # Kernel buffers of a caller's connection; they count as memory of the process on the platform.
-    receive_buffer_bytes: int = 131_072
-    send_buffer_bytes: int = 131_072
+    # Buffer of the kernel for bytes that are not read yet, which count as memory of the process on
+    # the platform; the kernel doubles the value. Enough for 64 MB a second within a region.
+    receive_buffer_bytes: int = 65_536
+    # Bytes in the kernel that are not sent yet since a caller does not read.
+    unsent_bytes_max: int = 32_768
--- a/berylchute/callers.py
+++ b/berylchute/callers.py
@@ -76,7 +76,7 @@
             host,
             int(port),
             self.request_limits.receive_buffer_bytes,
-            self.request_limits.send_buffer_bytes,
+            self.request_limits.unsent_bytes_max,
         )
 
     def stop_listening(self) -> None:
--- a/berylchute/listening.py
+++ b/berylchute/listening.py
@@ -20,6 +20,8 @@
 # open connections sees the accepted ones two turns later.
 BACKLOG = 1_024
 ACCEPTED_MAX = 16
+# Of Linux; the socket module has it from Python 3.12 on.
+TCP_NOTSENT_LOWAT = 25
 _PASSING_ERRORS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
 
 logger = logging.getLogger(__name__)
@@ -54,9 +56,9 @@
     host: str,
     port: int,
     receive_buffer_bytes: int,
-    send_buffer_bytes: int,
+    unsent_bytes_max: int,
 ) -> asyncio.Server:
-    """Serve a TCP address; the kernel's buffers of each connection have fixed sizes."""
+    """Serve a TCP address; the kernel's buffers of each connection have fixed bounds."""
     loop = asyncio.get_running_loop()
     # The event loop accepts as many connections at once as its backlog.
     server = await loop.create_server(
@@ -65,7 +67,7 @@
     for listener in server.sockets:
         # Accepted sockets inherit the options.
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes)
+        listener.setsockopt(socket.IPPROTO_TCP, TCP_NOTSENT_LOWAT, unsent_bytes_max)
     await server.start_serving()
     for listener in server.sockets:
         with socket.socket(fileno=os.dup(listener.fileno())) as duplicate:
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from berylchute.callerlimits import MAX_FDS_DEFAULT
 from berylchute.exceptions import SettingsError
 from berylchute_platform.settings import load
 
@@ -80,3 +81,9 @@
     # Guard against an unexpected exception at the start when the settings file is missing.
     with pytest.raises(SettingsError):
         load(tmp_path / "none.conf")
+
+
+def test_descriptors_of_the_host_are_read(tmp_path: Path) -> None:
+    # Guard against connections that exceed the descriptors of a host.
+    assert load(_file(tmp_path, TEXT + "limits.max-fds=1535\n")).edge.max_fds == 1535
+    assert load(_file(tmp_path, TEXT)).edge.max_fds == MAX_FDS_DEFAULT
