Log the address of callers whose connections are closed for others

Lines of the connection limit named no caller, and a connection that was closed and then reset had two lines. The connection itself now logs, once.

--- a/berylchute/callerconnection.py
+++ b/berylchute/callerconnection.py
@@ -7,11 +7,7 @@
 
 from berylchute.answerwriter import AnswerWriter
 from berylchute.bodymemory import BodyStage
-from berylchute.callerlimits import (
-    Cause,
-    ClosingRank,
-    ReadPace,
-)
+from berylchute.callerlimits import Cause, ClosingRank, ReadPace
 from berylchute.callermessages import CallerAnswer, CallerRequest, PendingRequest
 from berylchute.connectionserver import ConnectionServer
 from berylchute.requestreader import RequestReader
@@ -196,7 +192,7 @@
         if self._is_pipeline_full():
             self._pause_reading()
         if not body_memory.may_start(size_bytes):
-            self._report(Cause.NO_MEMORY, f"no room for {size_bytes} bytes")
+            self.report(Cause.NO_MEMORY, f"no room for {size_bytes} bytes")
             server.refuse(pending)
             return
         body_memory.hold(pending, BodyStage.IN_FLIGHT_REQUEST, size_bytes)
@@ -312,13 +308,13 @@
         self._abort(Cause.NO_MEMORY, reason)
 
     def _abort(self, cause: Cause, reason: str) -> None:
-        self._report(cause, f"reset: {reason}")
+        self.report(cause, f"reset: {reason}")
         self.reset()
 
     def drop_body(self, reason: str) -> None:
         """Refuse a request that can't be held any longer; implements BodyHolder."""
         if not self._is_closing:
-            self._report(Cause.NO_MEMORY, f"request: {reason}")
+            self.report(Cause.NO_MEMORY, f"request: {reason}")
             self._refuse_received()
 
     def _refuse_received(self) -> None:
@@ -338,7 +334,7 @@
         """Queue an error answer to an incomplete request and close the connection after it."""
         if self._is_closing:
             return
-        self._report(cause, f"refused with status {status.value}")
+        self.report(cause, f"refused with status {status.value}")
         self._is_closing = True
         self._release_received()
         request = CallerRequest.empty(b"GET", self._last_activity_s)
@@ -347,7 +343,8 @@
         )
         self._flush()
 
-    def _report(self, cause: Cause, text: str) -> None:
+    def report(self, cause: Cause, text: str) -> None:
+        """Count why a request is refused or the connection closed, and log the first cause."""
         peer = self.transport.get_extra_info("peername")
         is_logged = not self._is_reported
         self._is_reported = True
--- a/berylchute/callerlimits/connections.py
+++ b/berylchute/callerlimits/connections.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from berylchute.callerlimits.causes import CallerEventLog, Cause
+from berylchute.callerlimits.causes import Cause
 from berylchute.callerlimits.costs import CONNECTION_BYTES
 
 __all__ = [
@@ -56,6 +56,10 @@
         """Return the rank and since when it holds, None if the connection may not be closed."""
         ...
 
+    def report(self, cause: Cause, text: str) -> None:
+        """Count why the connection is closed, and log it once."""
+        ...
+
     def give_up(self) -> None:
         """Refuse what is incomplete and close the connection."""
         ...
@@ -97,12 +101,9 @@
 class ConnectionLimit:
     """Keep the open connections of all addresses of a process below a limit."""
 
-    def __init__(
-        self, connections_max: int, now_s: Callable[[], float], events: CallerEventLog
-    ) -> None:
+    def __init__(self, connections_max: int, now_s: Callable[[], float]) -> None:
         self._max = connections_max
         self._now_s = now_s
-        self._events = events
         self._open: set[ClosableConnection] = set()
         # Connections whose descriptor is free after the present turn of the event loop.
         self._reset: set[ClosableConnection] = set()
@@ -123,14 +124,14 @@
         now_s = self._now_s()
         if count > self._max + (RESERVED if is_reserved else 0):
             if not self._close_others(connection, now_s):
-                self._events.record(Cause.CONNECTIONS_REFUSED, f"{count} are open")
+                connection.report(Cause.CONNECTIONS_REFUSED, f"{count} are open")
                 self._reset_one(connection)
         elif now_s >= self._next_early_s:
             self._next_early_s = now_s + EXAMINE_INTERVAL_S
             for other in choose_to_close(
                 self._candidates(connection, now_s, ClosingRank.QUIET), self._batch()
             ):
-                self._events.record(Cause.CONNECTIONS_CLOSED, f"{count} are open")
+                other.report(Cause.CONNECTIONS_CLOSED, f"{count} are open")
                 other.give_up()
 
     def remove(self, connection: ClosableConnection) -> None:
@@ -147,7 +148,7 @@
         count = len(self)
         chosen = choose_to_close(self._candidates(connection, now_s), self._batch())
         for other in chosen:
-            self._events.record(Cause.CONNECTIONS_CLOSED, f"at once, {count} are open")
+            other.report(Cause.CONNECTIONS_CLOSED, f"at once, {count} are open")
             self._reset_one(other)
         if not chosen:
             self._next_examined_s = now_s + EXAMINE_INTERVAL_S
--- a/berylchute/callerlimits/guard.py
+++ b/berylchute/callerlimits/guard.py
@@ -47,7 +47,7 @@
             max_fds = min(max_fds, soft_limit)
         self.bounds = bound_connections(max_fds, memory_mb)
         self.events = CallerEventLog(logger, now_s)
-        self.connections = ConnectionLimit(self.bounds.callers_max, now_s, self.events)
+        self.connections = ConnectionLimit(self.bounds.callers_max, now_s)
 
     def read_state(self, account: Account) -> CallerState:
         """Return the state for the metrics collector."""
--- a/tests/test_callerconnections.py
+++ b/tests/test_callerconnections.py
@@ -145,7 +145,7 @@
         self.opened: list[CallerConnection] = []
         self.transports: list[FakeTransport] = []
         self.guard = CallerGuard(self.clock.now_s)
-        self.guard.connections = ConnectionLimit(callers_max, self.clock.now_s, self.guard.events)
+        self.guard.connections = ConnectionLimit(callers_max, self.clock.now_s)
         self.server = CallerServer(self.requests.append, self.clock, guard=self.guard)
         self.other = CallerServer(
             self.requests.append, self.clock, guard=self.guard, is_reserved=True
