--- a/berylchute/callerlimits/__init__.py
+++ b/berylchute/callerlimits/__init__.py
@@ -1,5 +1,6 @@
 """Bound the memory, connections and event-loop work of untrusted callers."""
 
+from berylchute.callerlimits.allocator import fix_mapping_threshold
 from berylchute.callerlimits.callermetrics import CallerState, caller_metrics
 from berylchute.callerlimits.causes import CallerEventLog, Cause
 from berylchute.callerlimits.connections import (
@@ -49,4 +50,5 @@
     "choose_to_close",
     "cost_incomplete_head",
     "cost_request",
+    "fix_mapping_threshold",
 ]
