--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -14,6 +14,7 @@
 from berylchute.backends import Backends
 from berylchute.background import BackgroundTasks
 from berylchute.bodymemory import BodyMemory
+from berylchute.callerlimits import CallerGuard
 from berylchute.callers import CallerAnswer, CallerServer, PendingRequest
 from berylchute.collection import (
     FIRST_START_S,
@@ -102,11 +103,18 @@
         )
         self._routes = RouteIndex()
         self._body_memory = BodyMemory(settings.node.host.memory_mb)
+        self._guard = CallerGuard(
+            self._clock.now_s,
+            limits=settings.request_limits,
+            max_fds=settings.max_fds,
+            memory_mb=settings.node.host.memory_mb,
+        )
         self._backends = Backends(
             self._clock,
             settings.node.host.availability_zone,
             settings.zone_regions,
             self._body_memory,
+            self._guard.bounds.servers_max,
         )
         self._directory = Directory()
         self._discovery = MemberDiscovery(self._clock, settings.zone_regions)
@@ -155,6 +163,7 @@
             settings.header_names,
             self._body_memory,
             self._handler.refuse,
+            guard=self._guard,
         )
         self._objects = ObjectApplier(
             self._routes,
@@ -179,6 +188,8 @@
             probe=self._probe,
             region_sends=self._region_sends,
             log=self._log,
+            guard=self._guard,
+            memory=self._body_memory,
         ).read
         self._member_log = MemberLog(self._log)
         if settings.metrics_address:
@@ -239,7 +250,12 @@
     def listen(self, address: str, handle: Callable[[PendingRequest], None]) -> None:
         """Also pass the requests that arrive on `ip:port` to `handle`; call before `serve`."""
         self._caller_servers[address] = CallerServer(
-            handle, self._clock, self._settings.header_names, self._body_memory
+            handle,
+            self._clock,
+            self._settings.header_names,
+            self._body_memory,
+            guard=self._guard,
+            is_reserved=True,
         )
 
     async def serve(self, signals: ProcessSignals) -> None:
--- a/berylchute/edgemetrics.py
+++ b/berylchute/edgemetrics.py
@@ -8,6 +8,7 @@
 from prometheus_client.registry import Collector
 
 from berylchute.allotments.metrics import AllotmentMetrics
+from berylchute.callerlimits import CallerState, caller_metrics
 from berylchute.types import MemberState
 
 __all__ = ["EdgeMetrics", "EdgeState"]
@@ -39,6 +40,7 @@
     log_lines_dropped_full: int = 0
     log_lines_dropped_rate: int = 0
     log_lines_dropped_unwritable: int = 0
+    callers: CallerState = CallerState()
 
 
 class _StateCollector(Collector):
@@ -86,7 +88,15 @@
         for service, by_rank in self._read_ratios().items():
             for rank, ratio in by_rank.items():
                 ratios.add_metric([service, str(rank)], ratio)
-        return [members, dropped, ages, ratios, *_gauges(state), *_counters(state)]
+        return [
+            members,
+            dropped,
+            ages,
+            ratios,
+            *_gauges(state),
+            *_counters(state),
+            *caller_metrics(state.callers),
+        ]
 
 
 def _gauges(state: EdgeState) -> list[Metric]:
--- a/berylchute/edgestate.py
+++ b/berylchute/edgestate.py
@@ -4,6 +4,8 @@
 from collections.abc import Sequence
 
 from berylchute.backends import Backends
+from berylchute.bodymemory import BodyMemory
+from berylchute.callerlimits import CallerGuard
 from berylchute.collection import CollectionFeed
 from berylchute.edgemetrics import EdgeState
 from berylchute.eventlog import EventLog
@@ -32,6 +34,8 @@
         probe: StoreProbe,
         region_sends: RegionSends,
         log: EventLog,
+        guard: CallerGuard,
+        memory: BodyMemory,
     ) -> None:
         self._node = node
         self._routes = routes
@@ -42,11 +46,14 @@
         self._probe = probe
         self._region_sends = region_sends
         self._log = log
+        self._guard = guard
+        self._memory = memory
 
     def read(self) -> EdgeState:
         """Return the state for the metrics collector."""
         table = self._routes.table
         now_s = self._node.clock.now_s()
+        readers: Sequence[CollectionFeed | StoreProbe] = [*self._feeds, self._probe]
         return EdgeState(
             requests_in_flight=self._handler.in_flight,
             routes_number=table.number if table else 0,
@@ -58,17 +65,12 @@
                 key: now_s - updated_at_s
                 for key, updated_at_s in self._objects.updated_at_s.items()
             },
-            store_calls={
-                **{feed.name: feed.calls for feed in self._feeds},
-                "probe": self._probe.calls,
-            },
-            store_failures={
-                **{feed.name: feed.failures for feed in self._feeds},
-                "probe": self._probe.failures,
-            },
+            store_calls={reader.name: reader.calls for reader in readers},
+            store_failures={reader.name: reader.failures for reader in readers},
             region_sends=self._region_sends.counts,
             connections_opened=self._backends.connections_opened(),
             log_lines_dropped_full=self._log.lines_dropped_buffer_full,
             log_lines_dropped_rate=self._log.lines_dropped_over_rate,
             log_lines_dropped_unwritable=self._log.lines_dropped_unwritable,
+            callers=self._guard.read_state(self._memory),
         )
