Reject a route table with an invalid digest of a key

Cause: digests in a table from another member were read only after the table was in place, so that an invalid one left new routes without keys: requests passed unidentified, and the task that applies objects failed again every 0.5 s.

Change: digests are checked when the table is decoded. An invalid table is rejected as a whole.

Result: test_table_with_an_invalid_digest_is_rejected failed for all five digests and passes.

--- a/berylchute/sharedobjects.py
+++ b/berylchute/sharedobjects.py
@@ -1,5 +1,6 @@
 """Define the objects that members share: configuration, registered servers, drained zones."""
 
+import re
 from enum import StrEnum
 
 import attrs
@@ -31,6 +32,8 @@
 ZONE_DRAINS_KEY = "zone_drains"
 SHARED_KEYS = (ROUTES_KEY, SERVERS_KEY, ZONE_DRAINS_KEY)
 
+_SHA256_HEX = re.compile(r"[0-9a-f]{64}")
+
 
 class RouteKind(StrEnum):
     """Whether the requests of a route may be retried, and whether their bodies are large."""
@@ -74,6 +77,11 @@
     is_public: bool = False
 
 
+def _check_digests(instance: object, attribute: object, digests: tuple[str, ...]) -> None:
+    if not all(_SHA256_HEX.fullmatch(digest) for digest in digests):
+        raise ValueError("a digest of a key is not one of SHA-256 in lower-case hexadecimal digits")
+
+
 @attrs.frozen
 class Organisation:
     """An organisation whose callers send one of its keys.
@@ -84,7 +92,7 @@
     """
 
     name: str
-    key_sha256: tuple[str, ...] = ()
+    key_sha256: tuple[str, ...] = attrs.field(default=(), validator=_check_digests)
     priority: int | None = None
     rate_per_s: float = 0.0
     burst: float = 0.0
--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -7,6 +7,7 @@
 
 from berylchute.attempts import ActiveRequest
 from berylchute.callers import CallerRequest, Header, PendingRequest
+from berylchute.exceptions import ConfigError
 from berylchute.organisations import (
     Identity,
     OrganisationDirectory,
@@ -22,6 +23,7 @@
     Organisation,
     RouteTable,
     decode_object,
+    encode_object,
 )
 from tests.test_routeindex import route
 
@@ -177,6 +179,16 @@
     assert index.organisations is None
 
 
+@pytest.mark.parametrize("digest", ["zz" * 32, "ab", "", "AB" * 32, "ab" * 32 + "\\n"])
+def test_table_with_an_invalid_digest_is_rejected(digest: str) -> None:
+    # Guard against a table of a member that is applied in part: its routes without its keys.
+    limits = CallerLimits()
+    table = RouteTable(1, (), (), limits, (organisation("one", "k1"),))
+    known = table.organisations[0].key_sha256[0]
+    with pytest.raises(ConfigError):
+        decode_object(ROUTES_KEY, encode_object(table).replace(known.encode(), digest.encode()))
+
+
 def test_table_of_an_older_build_has_no_organisations() -> None:
     # Guard against members that can't decode the table of a member of another build.
     text = b'{"number":1,"routes":[{"name":"r","host":"a","path_prefix":"/","kind":"idempotent",'
