Forget the refusals of organisations that are gone

Cause: counts of refusals not yet logged were dropped only together with the time of an organisation's last event. At most ten events are logged a second, so organisations that were removed without one left an entry for ever.

Change: counts of organisations without a limit are dropped with the limits.

Result: test_refusals_of_removed_organisations_are_forgotten failed and passes.

--- a/berylchute/allotments/service.py
+++ b/berylchute/allotments/service.py
@@ -111,6 +111,8 @@
             if name not in self._limits or now_s - at_s > 10.0 * _EVENT_INTERVAL_S:
                 del self._logged_at_s[name]
                 self._denied.pop(name, None)
+        for name in [name for name in self._denied if name not in self._limits]:
+            del self._denied[name]
 
     async def acquire(self, organisation: LimitedOrganisation, deadline_s: float) -> Verdict:
         """Return whether a request may be sent; wait for the owner for a short time if needed.
--- a/tests/test_allotmentservice.py
+++ b/tests/test_allotmentservice.py
@@ -195,6 +195,21 @@
     run(main)
 
 
+def test_refusals_of_removed_organisations_are_forgotten() -> None:
+    # Guard against memory that grows with the organisations that were over their allotments, but
+    # had no event, and are gone from the configuration.
+    async def main() -> None:
+        organisations = [Organisation(f"t{n}", 0.001, 1.0) for n in range(80)]
+        host = _Host(*organisations)
+        host.peers.is_silent = True
+        await asyncio.gather(*(host.allotments.acquire(item, 1e9) for item in organisations))
+        assert host.allotments._denied
+        host.allotments.configure([ORGANISATION])
+        assert not host.allotments._denied
+
+    run(main)
+
+
 class _Active:
     """The part of a request in flight that permits use."""
 
