Answer requests for tokens of tiny rates, and bound the kept senders

Cause: the wait until the next token of a rate of 1e-17 a second and less doesn't fit into a message, or divides by zero. The error ended the task that answers for all organisations, for 0.5 s with each message; on the owner itself, the request failed with 503. Senders were kept for 10 s without a bound on their number.

Change: the rate that a wait is computed from is at least 1e-6 a second, and an owner keeps at most 4,096 senders of an organisation.

Result: test_wait_for_a_token_of_a_tiny_rate_fits_into_a_message (three rates) and test_kept_senders_are_bounded failed and pass. 205 tests of allotments, organisations, documents, routes, request handler and edge pass.

--- a/berylchute/allotments/owner.py
+++ b/berylchute/allotments/owner.py
@@ -34,6 +34,11 @@
 _SENDER_KEPT_S = 10.0
 # More than a sender has under way at the same time.
 _REQUEST_IDS_KEPT = 16
+# Senders kept for an organisation, four times as many as the largest fleet has members. Senders
+# aren't checked against the members, since a new one may ask before it is known.
+SENDERS_MAX = 4096
+# Bounds the wait for a token of a tiny rate to a number that fits into a message.
+_RATE_MIN_PER_S = 1e-6
 
 
 @attrs.frozen
@@ -134,7 +139,7 @@
         if granted == count:
             return Grant(granted)
         missing = 1.0 - allotment.bucket.tokens
-        return Grant(granted, max(DENIAL_MIN_S, missing / rate_per_s))
+        return Grant(granted, max(DENIAL_MIN_S, missing / max(_RATE_MIN_PER_S, rate_per_s)))
 
     def is_repeated(
         self, name: str, sender: str, incarnation: int, request_id: int, now_s: float
@@ -144,6 +149,8 @@
         if allotment is None:
             return False
         seen = allotment.senders.get(sender)
+        if seen is None and len(allotment.senders) >= SENDERS_MAX:
+            del allotment.senders[next(iter(allotment.senders))]
         if seen is None or seen.incarnation < incarnation:
             seen = allotment.senders[sender] = _Sender(incarnation, now_s)
         if incarnation < seen.incarnation or request_id in seen.request_ids:
--- a/tests/test_allotments.py
+++ b/tests/test_allotments.py
@@ -20,7 +20,7 @@
     STOCK_LIFE_S,
     fallback_ratio,
 )
-from berylchute.allotments.owner import PAUSE_MIN_S, TAKEOVER_S
+from berylchute.allotments.owner import PAUSE_MIN_S, SENDERS_MAX, TAKEOVER_S
 from berylchute.discovery import MemberDiscovery
 from berylchute.messages import AllotmentGrant, AllotmentRequest, decode, encode
 from berylchute.types import MemberState, MemberStatus
@@ -355,6 +355,16 @@
     assert wait_s == pytest.approx(0.5)
 
 
+@pytest.mark.parametrize("rate_per_s", [1e-17, 1e-310, 5e-324])
+def test_wait_for_a_token_of_a_tiny_rate_fits_into_a_message(rate_per_s: float) -> None:
+    # Guard against a rate whose answers fail, which ends the task that answers all organisations.
+    limit = AllotmentLimit(rate_per_s, 1.0)
+    owner = AllotmentOwner()
+    owner.update({"o": limit}, part=0.5, is_certain=True, now_s=1000.0)
+    answer = grant(owner, 1000.1, part=0.5, limit=limit)
+    encode(AllotmentGrant("o", 1, answer.granted, math.ceil(answer.wait_s * 1000.0)))
+
+
 def test_owner_grants_the_part_of_the_live_members() -> None:
     # Guard against two sides of a partition that each use the whole rate or burst.
     owner = owner_at(1000.0, 60.0)
@@ -402,6 +412,15 @@
     assert owner.is_repeated("o", "m2", 7, 102, 1000.1)
 
 
+def test_kept_senders_are_bounded() -> None:
+    # Guard against memory that grows with requests of ever other senders.
+    owner = owner_at(1000.0)
+    for number in range(SENDERS_MAX + 10):
+        assert not owner.is_repeated("o", f"h{number}", 7, 100, 1000.0)
+    assert len(owner._owned["o"].senders) == SENDERS_MAX
+    assert owner.is_repeated("o", f"h{SENDERS_MAX}", 7, 100, 1000.0)
+
+
 def _shares(own: str, members: list[MemberStatus], *, is_joined: bool = True) -> MemberShares:
     clock = ManualClock(0.0)
     discovery = MemberDiscovery(clock, {"za": "ra", "zb": "ra", "zc": "rb"})
