Describe the priority of an organisation as it is applied

Cause: since the route's priority still decides between organisations of the same priority, but the description said that it is replaced.

Change: the description, and the wording of a comment in a test.

Result: no change of behaviour.

--- a/berylchute/sharedobjects.py
+++ b/berylchute/sharedobjects.py
@@ -86,9 +86,9 @@
 class Organisation:
     """An organisation whose callers send one of its keys.
 
-    `key_sha256` holds the digests of the keys in hexadecimal digits. `priority` replaces that of
-    the route unless it is None. A `rate_per_s` of 0 is no limit. Empty `home_regions` allow every
-    region of the route.
+    `key_sha256` holds the digests of the keys in hexadecimal digits. `priority` takes precedence
+    over that of the route unless it is None. A `rate_per_s` of 0 is no limit. Empty `home_regions`
+    allow every region of the route.
     """
 
     name: str
--- a/tests/test_allotments.py
+++ b/tests/test_allotments.py
@@ -413,7 +413,7 @@
 
 
 def test_kept_senders_are_bounded() -> None:
-    # Guard against memory that grows with requests of ever other senders.
+    # Guard against memory that grows with requests of many different senders.
     owner = owner_at(1000.0)
     for number in range(SENDERS_MAX + 10):
         assert not owner.is_repeated("o", f"h{number}", 7, 100, 1000.0)
