Count 24 kB for a request in flight

Cause: 12 kB was an estimate without a run.

Result: trial with one process and 600 connections: 4.2 and 4.3 kB for an idle connection (two runs); 200 requests in flight, with 400 refused beside them, added 4.6 MB, 23 kB each.

--- a/berylchute/callerlimits/costs.py
+++ b/berylchute/callerlimits/costs.py
@@ -10,19 +10,20 @@
     "cost_request",
 ]
 
-# Measured by `python -m lab.callercost`, with the allocator's rounding: a stored line is a tuple
-# and two objects.
+# A stored line is a tuple and two objects: 127 bytes (`python -m lab.callercost`), and more with
+# the rounding of the allocator.
 LINE_BYTES = 200
-# A request in flight: its objects, task, timeout and attempts.
-REQUEST_BYTES = 12_000
+# A request in flight: its objects, task, timeout, attempts and the connection to its server. 200
+# small ones in a process, beside 400 that were refused, took 23 kB each.
+REQUEST_BYTES = 24_000
 # Copies of the bytes of a head: as read, decoded, and encoded for a server.
 REQUEST_COPIES = 3
 # A head that is not complete is stored, and its last line may be in the parser, too.
 INCOMPLETE_COPIES = 2
 # An answer that waits until the caller reads, without its body.
 WAITING_ANSWER_BYTES = 4_000
-# A connection with its parser, transport and socket object takes 8 kB; half of the kernel's buffer
-# for unread bytes is added, since few connections fill theirs at the same time.
+# A connection with its parser, transport and socket object: 600 idle ones took 4.3 kB each. Half of
+# the kernel's buffer for unread bytes is added, since few fill theirs at the same time.
 CONNECTION_BYTES = 10_000 + 32_768
 
 
