--- a/tests/test_requestranks.py
+++ b/tests/test_requestranks.py
@@ -151,7 +151,7 @@
 
     def active_of(name: str) -> ActiveRequest:
         active = _active(2)
-        active.apply_identity(Identity(organisation(name, priority=0), (), DIRECTORY))
+        active.apply_identity(Identity(organisation(name, priority=3), (), DIRECTORY))
         return active
 
     full = Selection(None, NoServerReason.ALL_FULL, 12.0)
@@ -162,7 +162,7 @@
     assert ranks.full_ratio(other) == FULL_LOAD_RATIO
     assert min(ranks.full_ratio(hot) or 0.0 for _ in range(20)) < FULL_LOAD_RATIO
     ranks.refuse(hot, 2.0, 0.0)
-    assert 'rank_refusals_total{rank="0"' in metrics.render().decode()
+    assert 'rank_refusals_total{rank="3002"' in metrics.render().decode()
 
 
 def test_ranks_are_equal_unless_enabled() -> None:
