--- a/berylchute/callerconnection.py
+++ b/berylchute/callerconnection.py
@@ -3,25 +3,14 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable
 from http import HTTPStatus
-from typing import Protocol
-
-import httptools
-
-from berylchute.answerlimits import parse_content_length
-from berylchute.bodymemory import BodyMemory, BodyStage
-from berylchute.callermessages import (
-    CONNECTION_HEADERS,
-    CallerAnswer,
-    CallerRequest,
-    Header,
-    PendingRequest,
-    encode_head,
-)
-from berylchute.headernames import HeaderNames
-from berylchute.sharedobjects import CallerLimits
-from berylchute.types import Clock
+
+from berylchute.answerwriter import AnswerWriter
+from berylchute.bodymemory import BodyStage
+from berylchute.callerlimits import Cause, ClosingRank, ReadPace
+from berylchute.callermessages import CallerAnswer, CallerRequest, PendingRequest
+from berylchute.connectionserver import ConnectionServer
+from berylchute.requestreader import RequestReader
 
 __all__ = ["PIPELINED_REQUESTS_MAX", "CallerConnection", "ConnectionServer"]
 
@@ -30,75 +19,57 @@
 # Pipelined requests in flight on one connection; reading pauses at this number. Browsers and
 # client libraries pipeline far fewer.
 PIPELINED_REQUESTS_MAX = 64
-# Longer bodies are written in parts of this size.
-WRITTEN_BYTES_MAX = 65_536
 # Time for answers on their way to a slow caller after the sending side was ended.
 LINGER_S = 3.0
+# A caller that has read nothing for this time may be disconnected for others.
+STALLED_S = 1.0
 
 
-class ConnectionServer(Protocol):
-    """The server of a connection: settings, and where its requests go."""
-
-    clock: Clock
-    header_names: HeaderNames
-    limits: CallerLimits
-    is_closing: bool
-    connections: "set[CallerConnection]"
-    body_memory: BodyMemory
-    handle: Callable[[PendingRequest], None]
-    refuse: Callable[[PendingRequest], None]
-
-
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.BufferedProtocol):
     """One connection of a caller; requests run concurrently and are answered in order."""
 
     def __init__(self, server: ConnectionServer) -> None:
         self._server = server
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._reader = RequestReader(server, self._accept_head, self._accept_request)
         self._pending: deque[PendingRequest] = deque()
         self._last_activity_s = server.clock.now_s()
-        self._message_started_s: float | None = None
-        self._is_reading_head = False
+        self._pace = ReadPace()
+        self._unparsed = b""
+        self._is_parse_scheduled = False
+        self._held_bytes = 0
         self._is_paused = False
         self._is_closing = False
         self.is_closed = False
         self._is_lingering = False
         self._linger_until_s = 0.0
-        self._sending: PendingRequest | None = None
-        self._unsent = memoryview(b"")
-        self._is_writing_paused = False
-        self._chunk_bytes = 0
-        self._head_bytes = 0
-        self._reset_message()
-
-    def _reset_message(self) -> None:
-        self._url = b""
-        self._headers: list[Header] = []
-        self._body = bytearray()
-        self._body_bytes = 0
+        self._is_reported = False
+        self._writer = AnswerWriter(server.body_memory, self.abort)
 
-    # asyncio.Protocol
+    # asyncio.BufferedProtocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Add the connection to the server."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._server.connections.add(self)
+        self._server.connection_limit.add(self, is_reserved=self._server.is_reserved)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the unanswered requests of the connection."""
         self.is_closed = True
         self._server.connections.discard(self)
+        self._server.connection_limit.remove(self)
         self._cancel_pending()
+        self._writer.release_buffered()
 
     def pause_writing(self) -> None:
         """Write no more for now: the caller reads more slowly."""
-        self._is_writing_paused = True
+        self._writer.paused_s = self._server.clock.now_s()
 
     def resume_writing(self) -> None:
         """Write what waits for the caller."""
-        self._is_writing_paused = False
+        self._writer.paused_s = None
         self._last_activity_s = self._server.clock.now_s()
         self._flush()
 
@@ -106,183 +77,169 @@
         """Close the connection; a half-closed connection counts as a disconnect."""
         return False
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer of all connections of the server; it is used at once."""
+        return self._server.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what was read into the buffer, unless the connection is closed."""
+        if self._is_closing:
+            self._last_activity_s = self._server.clock.now_s()
+        else:
+            self.data_received(bytes(memoryview(self._server.read_buffer)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse bytes; a malformed request gets status 400 and closes the connection."""
         self._last_activity_s = self._server.clock.now_s()
+        if self._is_closing or not data:
+            return
+        pace = self._pace
+        if len(data) > pace.part_bytes or self._unparsed:
+            self._unparsed += data
+            self._parse_unparsed()
+            return
+        self._parse(data)
+        pace.record(len(data), self._reader.events)
+        if self._held_bytes or self._reader.started_s is not None:
+            self._count_held()
+
+    # requests
+
+    def _parse(self, data: bytes) -> None:
+        reader = self._reader
+        reader.feed(data, self._last_activity_s)
+        if self._is_closing:
+            reader.discard()
+        elif reader.refusal is not None:
+            self._refuse(reader.refusal.status, reader.refusal.cause)
+
+    def _parse_unparsed(self) -> None:
+        """Parse what was read as far as one turn of the event loop allows, the rest later."""
+        data, start = self._unparsed, 0
+        limits = self._server.request_limits
+        pace = self._pace
+        pace.begin_turn(limits.turn_bytes_max, limits.turn_events_max)
+        while start < len(data) and not self._is_closing and not self._is_pipeline_full():
+            part = data[start : start + pace.next_part_bytes(self._reader.body_bytes_left)]
+            start += len(part)
+            self._parse(part)
+            if not pace.record(len(part), self._reader.events):
+                break
+        self._unparsed = b"" if self._is_closing else data[start:]
+        self._count_held()
+        if self._unparsed:
+            self._pause_reading()
+            self._schedule_parse()
+        elif not self._is_pipeline_full():
+            self._resume_reading()
+
+    def _schedule_parse(self) -> None:
+        if not self._is_parse_scheduled and not self._is_pipeline_full():
+            self._is_parse_scheduled = True
+            self._server.call_soon(self._parse_scheduled)
+
+    def _parse_scheduled(self) -> None:
+        self._is_parse_scheduled = False
+        if self._unparsed and not self._is_closing and not self.is_closed:
+            self._parse_unparsed()
+
+    def _is_pipeline_full(self) -> bool:
+        return len(self._pending) >= PIPELINED_REQUESTS_MAX
+
+    def _pause_reading(self) -> None:
+        if not self._is_paused and self._transport is not None:
+            self._is_paused = True
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self._is_paused and self._transport is not None:
+            self._is_paused = False
+            self._transport.resume_reading()
+
+    def _count_held(self) -> None:
+        """Tell the memory account what the incomplete request and unparsed bytes take."""
         if self._is_closing:
             return
-        if self._message_started_s is None:
-            self._message_started_s = self._last_activity_s
-            self._is_reading_head = True
-        # Bytes of a pipelined message that arrive with the end of the previous one are not counted.
-        self._chunk_bytes = len(data)
-        if self._is_reading_head:
-            self._head_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(HTTPStatus.BAD_REQUEST)
-        except httptools.HttpParserError:
-            # A callback may have refused the request already; _refuse does nothing then.
-            self._refuse(HTTPStatus.BAD_REQUEST)
-        else:
-            if self._is_reading_head and self._head_bytes > self._server.limits.header_bytes_max:
-                self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-
-    # httptools callbacks
-
-    def on_message_begin(self) -> None:
-        """Reset the parser state for the next request."""
-        self._reset_message()
-        self._head_bytes = self._chunk_bytes
-        self._message_started_s = self._last_activity_s
-        self._is_reading_head = True
-
-    def on_url(self, url: bytes) -> None:
-        """Append a part of the request target."""
-        self._url += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; `Expect` is answered with status 100."""
-        self._headers.append((name, value))
-        if name.lower() == b"expect" and self._transport is not None and not self._pending:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_headers_complete(self) -> None:
-        """Refuse a request whose headers, or the length that they declare, are above a limit."""
-        self._is_reading_head = False
-        size_bytes = len(self._url) + sum(len(n) + len(v) + 4 for n, v in self._headers)
-        length = _find_content_length(self._headers)
-        if size_bytes > self._server.limits.header_bytes_max:
-            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-        elif length > self._server.limits.body_bytes_max:
-            self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        elif not self._server.body_memory.may_receive(length):
-            self.drop_body(f"no room for {length} bytes")
-
-    def on_body(self, body: bytes) -> None:
-        """Store a part of the body; refuse a request with a body above the size limit."""
-        self._body_bytes += len(body)
-        if self._body_bytes > self._server.limits.body_bytes_max:
-            self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        elif not self._is_closing:
-            self._body += body
-            self._server.body_memory.hold(self, BodyStage.RECEIVING_REQUEST, len(body))
-
-    def on_message_complete(self) -> None:
-        """Pass the complete request to the server's handler."""
-        self._message_started_s = None
-        self._chunk_bytes = 0
+        held_bytes = self._reader.held_bytes() + len(self._unparsed)
+        added_bytes = held_bytes - self._held_bytes
+        if added_bytes:
+            self._held_bytes = held_bytes
+            self._server.body_memory.hold(self, BodyStage.RECEIVING_REQUEST, added_bytes)
+
+    def _accept_head(self, body_bytes: int, expect_lines: int) -> None:
+        """Refuse a declared length that finds no room; else invite a caller that waits to send."""
+        if not self._server.body_memory.may_receive(body_bytes):
+            self.drop_body(f"no room for {body_bytes} bytes")
+        elif expect_lines and not self._pending and self._writer.paused_s is None:
+            answers = min(expect_lines, self._server.request_limits.interim_answers_max)
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n" * answers)
+
+    def _accept_request(self) -> None:
+        """Pass a complete request to the server's handler, or refuse it if memory is full."""
         if self._is_closing:
             return
-        keep_alive = self._parser.should_keep_alive() and not self._server.is_closing
-        pending = PendingRequest(self, self._make_request(), keep_alive)
+        server = self._server
+        keep_alive = self._reader.should_keep_alive() and not server.is_closing
+        request, size_bytes = self._reader.take_request()
+        pending = PendingRequest(self, request, keep_alive)
         self._pending.append(pending)
-        body_memory = self._server.body_memory
-        size_bytes = body_memory.release(self, BodyStage.RECEIVING_REQUEST)
-        if size_bytes:
-            body_memory.hold(pending, BodyStage.IN_FLIGHT_REQUEST, size_bytes)
+        body_memory = server.body_memory
+        if self._held_bytes:
+            self._held_bytes = 0
+            body_memory.release(self, BodyStage.RECEIVING_REQUEST)
         if not keep_alive:
             self._is_closing = True
-        if len(self._pending) >= PIPELINED_REQUESTS_MAX and self._transport is not None:
-            self._is_paused = True
-            self._transport.pause_reading()
+        if self._is_pipeline_full():
+            self._pause_reading()
+        if not body_memory.may_start(size_bytes):
+            self.report(Cause.NO_MEMORY, f"no room for {size_bytes} bytes")
+            server.refuse(pending)
+            return
+        body_memory.hold(pending, BodyStage.IN_FLIGHT_REQUEST, size_bytes)
         try:
-            self._server.handle(pending)
+            server.handle(pending)
         except Exception:
             # Raised into the parser, it would count as a malformed request.
             logger.exception("request %s failed, refusing it", pending.request.request_id)
             pending.respond(CallerAnswer(HTTPStatus.SERVICE_UNAVAILABLE))
 
-    def _make_request(self) -> CallerRequest:
-        header_names = self._server.header_names
-        request = CallerRequest(
-            method=self._parser.get_method(),
-            target=self._url,
-            path=self._url.partition(b"?")[0].decode("latin-1"),
-            host="",
-            headers=[],
-            body=self._body,
-            received_s=self._last_activity_s,
-        )
-        for name, value in self._headers:
-            key = name.lower()
-            if key == b"host":
-                request.host = value.decode("latin-1").partition(":")[0].lower()
-            elif key == header_names.request_id:
-                request.request_id = value.decode("latin-1")
-            elif key == header_names.deadline_ms:
-                request.time_left_ms = _parse_ms(value)
-                continue  # sent to the backend server with the time that remains
-            elif key == header_names.expected_server:
-                continue
-            elif key == b"cookie":
-                request.affinity_key = _find_cookie(value, header_names.affinity_cookie)
-            if key not in CONNECTION_HEADERS:
-                request.headers.append((name, value))
-        return request
-
     # answers
 
     def accept_answer(self, pending: PendingRequest) -> None:
         """Send an answer once all earlier requests of the connection are answered."""
         body_memory = self._server.body_memory
         body_memory.release(pending, BodyStage.IN_FLIGHT_REQUEST)
-        is_open = not self.is_closed and not self._is_lingering
-        if pending.answer is not None and pending.answer.body and is_open:
-            body_memory.hold(pending, BodyStage.SENDING_ANSWER, len(pending.answer.body))
         self._flush()
+        is_sending = pending is self._writer.sending
+        if pending.answer is not None and (is_sending or pending in self._pending):
+            if not is_sending:
+                # Only the method is still needed.
+                pending.request = CallerRequest.empty(pending.request.method, self._last_activity_s)
+            body_memory.hold(pending, BodyStage.SENDING_ANSWER, pending.answer.size_bytes)
 
     def _flush(self) -> None:
         """Send the answers whose earlier requests are all answered, as fast as the caller reads."""
-        transport = self._transport
+        transport, writer = self._transport, self._writer
         if transport is None or self.is_closed or self._is_lingering:
             return
-        self._write_body()
-        while self._pending and self._pending[0].answer is not None and self._can_write():
-            self._write_answer(self._pending.popleft())
-        if self._unsent:
+        if writer.is_unsent:
+            writer.write_more(transport)
+        while self._pending and self._pending[0].answer is not None and writer.can_write:
+            pending = self._pending.popleft()
+            is_last = not pending.keep_alive or (self._server.is_closing and not self._pending)
+            self._is_closing = self._is_closing or is_last
+            self._last_activity_s = self._server.clock.now_s()
+            writer.write(transport, pending, is_last)
+        writer.count_buffered(transport)
+        if writer.is_unsent:
             return
         if self._is_closing and not self._pending:
             self._close()
         elif self._is_paused and len(self._pending) < PIPELINED_REQUESTS_MAX // 2:
-            self._is_paused = False
-            transport.resume_reading()
-
-    def _can_write(self) -> bool:
-        return not self._unsent and not self._is_writing_paused and not self.is_closed
-
-    def _write_answer(self, pending: PendingRequest) -> None:
-        assert pending.answer is not None
-        answer = pending.answer
-        is_last = not pending.keep_alive or (self._server.is_closing and not self._pending)
-        self._is_closing = self._is_closing or is_last
-        self._last_activity_s = self._server.clock.now_s()
-        head = encode_head(answer, is_last)
-        body = answer.body if answer.has_body and pending.request.method != b"HEAD" else b""
-        self._sending = pending
-        if len(body) <= WRITTEN_BYTES_MAX:
-            self.transport.write(head + body)
-        else:
-            self.transport.write(head)
-            self._unsent = memoryview(body)
-        self._write_body()
-
-    def _write_body(self) -> None:
-        """Write a long body in parts, each when the former ones are sent: buffers would copy it."""
-        while self._unsent and not self._is_writing_paused and not self.is_closed:
-            self.transport.write(self._unsent[:WRITTEN_BYTES_MAX])
-            self._unsent = self._unsent[WRITTEN_BYTES_MAX:]
-        if not self._unsent and self._sending is not None:
-            self._server.body_memory.release(self._sending, BodyStage.SENDING_ANSWER)
-            self._sending = None
-            # An empty view would still hold the whole body.
-            self._unsent = memoryview(b"")
-
-    def close_if_idle(self) -> None:
-        """Close the connection if no request is in flight or partly received."""
-        if not self._pending and not self._unsent and self._message_started_s is None:
-            self._close()
+            if self._unparsed:
+                self._schedule_parse()
+            else:
+                self._resume_reading()
 
     @property
     def transport(self) -> asyncio.Transport:
@@ -290,70 +247,128 @@
         assert self._transport is not None
         return self._transport
 
+    # closing
+
+    def close_if_idle(self) -> None:
+        """Close the connection if no request is in flight or partly received."""
+        if not self._pending and not self._writer.is_unsent and self._reader.started_s is None:
+            self._close()
+
     def close_if_timed_out(self, now_s: float) -> None:
         """Close the connection if it exceeds a timeout; a partial request gets status 408."""
         limits = self._server.limits
         idle_s = now_s - self._last_activity_s
+        self._writer.count_buffered(self.transport)
         if self._is_lingering:
             if now_s > self._linger_until_s:
                 self._end_lingering()
-        elif self._is_writing_paused:
-            if idle_s > limits.idle_timeout_s:
-                self.abort(f"caller has read nothing for {idle_s:.1f} s")
-        elif self._message_started_s is not None:
-            is_head_late = self._is_reading_head and (
-                now_s - self._message_started_s > limits.header_timeout_s
+        elif self._writer.paused_s is not None:
+            stalled_s = now_s - self._writer.paused_s
+            if stalled_s > limits.idle_timeout_s:
+                self._abort(Cause.NOT_READING, f"it has read nothing for {stalled_s:.1f} s")
+        elif self._reader.started_s is not None:
+            is_head_late = self._reader.is_reading_head and (
+                now_s - self._reader.started_s > limits.header_timeout_s
             )
             if is_head_late or idle_s > limits.idle_timeout_s:
-                self._refuse(HTTPStatus.REQUEST_TIMEOUT)
+                self._refuse(HTTPStatus.REQUEST_TIMEOUT, Cause.LATE)
         elif not self._pending and idle_s > limits.idle_timeout_s:
             self._close()
 
+    def closing_rank(self, now_s: float) -> tuple[ClosingRank, float] | None:
+        """Return whether the connection may be closed for others; see ClosableConnection."""
+        if self._is_lingering:
+            return ClosingRank.LINGERING, self._linger_until_s
+        reader, paused_s = self._reader, self._writer.paused_s
+        if self._pending or self._writer.is_unsent:
+            is_in_flight = any(pending.answer is None for pending in self._pending)
+            if is_in_flight or paused_s is None or now_s - paused_s < STALLED_S:
+                return None
+            return ClosingRank.NOT_READING, paused_s
+        if reader.started_s is None:
+            return ClosingRank.QUIET, self._last_activity_s
+        if reader.is_reading_head:
+            return ClosingRank.QUIET, reader.started_s
+        return (ClosingRank.SLOW_BODY, reader.started_s) if reader.is_slow(now_s) else None
+
+    def give_up(self) -> None:
+        """Close the connection for others; an incomplete request is refused as not run."""
+        if self._reader.started_s is None:
+            self.close_if_idle()
+        else:
+            self._refuse_received()
+
+    def reset(self) -> None:
+        """Close the connection at once; what it carries is lost."""
+        self._is_closing = True
+        self.transport.abort()
+
+    def abort(self, reason: str) -> None:
+        """Reset the connection; answers that are not sent yet are lost."""
+        self._abort(Cause.NO_MEMORY, reason)
+
+    def _abort(self, cause: Cause, reason: str) -> None:
+        self.report(cause, f"reset: {reason}")
+        self.reset()
+
     def drop_body(self, reason: str) -> None:
-        """Refuse a request whose body can't be held any longer; implements BodyHolder."""
+        """Refuse a request that can't be held any longer; implements BodyHolder."""
+        if not self._is_closing:
+            self.report(Cause.NO_MEMORY, f"request: {reason}")
+            self._refuse_received()
+
+    def _refuse_received(self) -> None:
+        """Refuse an incomplete request as not run and close the connection after the answer."""
         if self._is_closing:
             return
-        logger.info("request body: %s", reason)
         self._is_closing = True
-        self._release_body()
-        pending = PendingRequest(self, self._make_request(), keep_alive=False)
+        request, _ = self._reader.take_request()
+        request.headers = []
+        request.body = b""
+        self._release_received()
+        pending = PendingRequest(self, request, keep_alive=False)
         self._pending.append(pending)
         self._server.refuse(pending)
 
-    def abort(self, reason: str) -> None:
-        """Reset the connection; answers that are not sent yet are lost."""
-        logger.warning("connection of a caller is reset: %s", reason)
-        self._is_closing = True
-        self.transport.abort()
-
-    def _release_body(self) -> None:
-        self._body = bytearray()
-        self._server.body_memory.release(self, BodyStage.RECEIVING_REQUEST)
-
-    def _refuse(self, status: HTTPStatus) -> None:
+    def _refuse(self, status: HTTPStatus, cause: Cause) -> None:
         """Queue an error answer to an incomplete request and close the connection after it."""
         if self._is_closing:
             return
+        self.report(cause, f"refused with status {status.value}")
         self._is_closing = True
-        self._release_body()
-        request = CallerRequest(b"GET", b"", "", "", [], b"", self._last_activity_s)
+        self._release_received()
+        request = CallerRequest.empty(b"GET", self._last_activity_s)
         self._pending.append(
             PendingRequest(self, request, keep_alive=False, answer=CallerAnswer(status))
         )
         self._flush()
 
+    def report(self, cause: Cause, text: str) -> None:
+        """Count why a request is refused or the connection closed, and log the first cause."""
+        peer = self.transport.get_extra_info("peername")
+        is_logged = not self._is_reported
+        self._is_reported = True
+        self._server.caller_events.record(cause, f"{peer}: {text}", is_logged=is_logged)
+
+    def _release_received(self) -> None:
+        """Free what is held of an incomplete request and of bytes that are not parsed."""
+        self._unparsed = b""
+        self._reader.discard()
+        if self._held_bytes:
+            self._held_bytes = 0
+            self._server.body_memory.release(self, BodyStage.RECEIVING_REQUEST)
+
     def _cancel_pending(self) -> None:
-        """Cancel the unanswered requests and release the bodies that are held for all."""
+        """Cancel the unanswered requests and release what is held for all."""
         body_memory = self._server.body_memory
-        for pending in (*self._pending, *filter(None, (self._sending,))):
+        for pending in self._pending:
             if pending.answer is None and pending.cancel is not None:
                 pending.cancel()
             body_memory.release(pending, BodyStage.IN_FLIGHT_REQUEST)
             body_memory.release(pending, BodyStage.SENDING_ANSWER)
         self._pending.clear()
-        self._sending = None
-        self._unsent = memoryview(b"")
-        self._release_body()
+        self._writer.release_sending()
+        self._release_received()
 
     def _close(self) -> None:
         """End the sending side, and read on until the caller closes or a time has passed.
@@ -368,8 +383,7 @@
         self._cancel_pending()
         if self._transport is None or self._transport.is_closing():
             return
-        if self._is_paused:
-            self._transport.resume_reading()
+        self._resume_reading()
         try:
             self._transport.write_eof()
         except OSError:
@@ -381,23 +395,3 @@
             self.transport.abort()
         else:
             self.transport.close()
-
-
-def _parse_ms(value: bytes) -> float | None:
-    try:
-        return max(0.0, float(value))
-    except ValueError:
-        return None
-
-
-def _find_cookie(value: bytes, name: bytes) -> str:
-    for part in value.split(b";"):
-        key, _, content = part.strip().partition(b"=")
-        if key.lower() == name:
-            return content.decode("latin-1")
-    return ""
-
-
-def _find_content_length(headers: list[Header]) -> int:
-    value = next((value for name, value in headers if name.lower() == b"content-length"), b"")
-    return parse_content_length(value) or 0
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-from collections import Counter
 from collections.abc import Callable, Sequence
 from random import Random
 
@@ -10,10 +9,12 @@
 from anyio.abc import TaskGroup
 
 from berylchute import __version__
+from berylchute.allotments import AllotmentMessages, AllotmentPermits
 from berylchute.assignments import ColdSenderSelector, should_watch_store
 from berylchute.backends import Backends
 from berylchute.background import BackgroundTasks
 from berylchute.bodymemory import BodyMemory
+from berylchute.callerlimits import CallerGuard
 from berylchute.callers import CallerAnswer, CallerServer, PendingRequest
 from berylchute.collection import (
     FIRST_START_S,
@@ -24,12 +25,16 @@
 )
 from berylchute.directory import Directory
 from berylchute.discovery import MemberDiscovery
-from berylchute.edgemetrics import EdgeMetrics, EdgeState
+from berylchute.edgemetrics import EdgeMetrics
 from berylchute.edgesettings import EdgeSettings
+from berylchute.edgestate import EdgeStateReader
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import ConfigError, ListenError, SettingsError, first_error
+from berylchute.memberlog import MemberLog
 from berylchute.membership import MembershipTiming
 from berylchute.node import BootClock, Node
+from berylchute.objectapplier import ObjectApplier
+from berylchute.priorities import make_ranks
 from berylchute.processsignals import ProcessSignals
 from berylchute.regionsends import RegionSends
 from berylchute.requesthandler import RequestHandler
@@ -38,11 +43,11 @@
 from berylchute.selection import Selector
 from berylchute.serverlimits import ServerLimits
 from berylchute.servers import Server
-from berylchute.sharedobjects import SHARED_KEYS, RouteTable, ServerList, ZoneDrains, decode_object
+from berylchute.sharedobjects import SHARED_KEYS
 from berylchute.spillshare import SpillLimiter
 from berylchute.stoptimes import StopTimes
 from berylchute.storecontact import StoreContact, StoreProbe
-from berylchute.types import MemberStatus, StoredObject
+from berylchute.types import StoredObject
 
 __all__ = ["Edge", "EdgeSettings"]
 
@@ -98,11 +103,18 @@
         )
         self._routes = RouteIndex()
         self._body_memory = BodyMemory(settings.node.host.memory_mb)
+        self._guard = CallerGuard(
+            self._clock.now_s,
+            limits=settings.request_limits,
+            max_fds=settings.max_fds,
+            memory_mb=settings.node.host.memory_mb,
+        )
         self._backends = Backends(
             self._clock,
             settings.node.host.availability_zone,
             settings.zone_regions,
             self._body_memory,
+            self._guard.bounds.servers_max,
         )
         self._directory = Directory()
         self._discovery = MemberDiscovery(self._clock, settings.zone_regions)
@@ -119,6 +131,10 @@
             is_first_start=settings.is_first_start,
             is_seed=settings.node.listen.peers in settings.node.peers.seeds,
         )
+        self._allotment_messages = AllotmentMessages(
+            self._node, self._discovery, self._log, self._metrics.allotments
+        )
+        self._allotments = self._allotment_messages.allotments
         self._feeds = [
             CollectionFeed(
                 collection,
@@ -147,15 +163,35 @@
             settings.header_names,
             self._body_memory,
             self._handler.refuse,
+            guard=self._guard,
+        )
+        self._objects = ObjectApplier(
+            self._routes,
+            self._backends,
+            self._caller_server,
+            self._allotments,
+            self._clock,
+            self._log,
         )
         self._caller_servers = {settings.node.listen.http: self._caller_server}
         self._signalled = anyio.Event()
         self._stop_requested = anyio.Event()
         self._is_stopping = False
         self._published_ready = False
-        self._updated_at_s: dict[str, float] = {}
-        self._logged_members: Sequence[MemberStatus] = ()
-        self._metrics.read_state = self._read_state
+        self._metrics.read_state = EdgeStateReader(
+            node=self._node,
+            routes=self._routes,
+            backends=self._backends,
+            handler=self._handler,
+            objects=self._objects,
+            feeds=self._feeds,
+            probe=self._probe,
+            region_sends=self._region_sends,
+            log=self._log,
+            guard=self._guard,
+            memory=self._body_memory,
+        ).read
+        self._member_log = MemberLog(self._log)
         if settings.metrics_address:
             self.listen(settings.metrics_address, self._answer_metrics)
 
@@ -177,6 +213,14 @@
             discovery=self._discovery,
             region_of_zone=lambda zone: self._settings.zone_regions.get(zone, ""),
             region_sends=self._region_sends,
+            permits=AllotmentPermits(self._allotments),
+            ranks=make_ranks(
+                is_enabled=self._settings.admission_by_rank,
+                clock=self._clock,
+                rng=self._rng,
+                log=self._log,
+                metrics=self._metrics,
+            ),
         )
 
     @property
@@ -206,7 +250,12 @@
     def listen(self, address: str, handle: Callable[[PendingRequest], None]) -> None:
         """Also pass the requests that arrive on `ip:port` to `handle`; call before `serve`."""
         self._caller_servers[address] = CallerServer(
-            handle, self._clock, self._settings.header_names, self._body_memory
+            handle,
+            self._clock,
+            self._settings.header_names,
+            self._body_memory,
+            guard=self._guard,
+            is_reserved=True,
         )
 
     async def serve(self, signals: ProcessSignals) -> None:
@@ -247,6 +296,7 @@
         for feed in self._feeds:
             background_tasks.start_lasting(feed.run)
         background_tasks.start_lasting(self._probe.run)
+        background_tasks.start_lasting(self._allotment_messages.follow)
         # The callers' address is the last: a start that is given up has accepted no request.
         for address, server in reversed(self._caller_servers.items()):
             await server.start(address)
@@ -270,33 +320,11 @@
         async for stored in self._node.subscribe_objects(*SHARED_KEYS):
             current = self._node.objects.get(stored.key) or stored
             try:
-                self._apply_object(current)
+                self._objects.apply(current)
             except ConfigError as error:
                 self._log.event("object_rejected", key=stored.key, reason=str(error))
             self._report_ready()
 
-    def _apply_object(self, stored: StoredObject) -> None:
-        """Decode a shared object and apply it; raise ConfigError."""
-        value = decode_object(stored.key, stored.value)
-        self._updated_at_s[stored.key] = self._clock.now_s()
-        if isinstance(value, RouteTable):
-            newer = self._routes.replace(value)
-            if newer:
-                self._backends.configure(value)
-                self._caller_server.limits = value.limits
-            self._log.event("routes", number=value.number, version=stored.version, newer=newer)
-        elif isinstance(value, ServerList):
-            self._backends.update_servers(value)
-            self._log.event("servers", count=len(value.entries), version=stored.version)
-        elif isinstance(value, ZoneDrains):
-            returned = self._backends.drain_zones(value.availability_zones)
-            self._log.event(
-                "zone_drains",
-                zones=value.availability_zones,
-                returned=returned,
-                version=stored.version,
-            )
-
     def _receive_object(self, stored: StoredObject) -> None:
         if self._node.apply_object(stored):
             return
@@ -327,10 +355,11 @@
         is_watching = False
         while True:
             members = self._node.members.list_members()
-            self._log_members(members)
+            self._member_log.log_changes(members)
             self._directory.update(members)
             self._discovery.update(is_joined=self._node.is_joined)
             self._server_limits.update_members(members)
+            self._allotments.update_members(members)
             self._node.set_server_limits(self._server_limits.limits_to_report())
             self._backends.close_expired()
             self._backends.move_keys()
@@ -354,15 +383,6 @@
             self._node.set_ready(self._published_ready)
             self._log.event("ready", ready=self._published_ready)
 
-    def _log_members(self, members: Sequence[MemberStatus]) -> None:
-        if members is self._logged_members:
-            return
-        before = {status.record.host_id: status.state for status in self._logged_members}
-        self._logged_members = members
-        for status in members:
-            if before.get(status.record.host_id) is not status.state:
-                self._log.event("member", member=status.record.host_id, state=status.state)
-
     async def _flush_forever(self) -> None:
         while True:
             await anyio.sleep(LOG_FLUSH_S)
@@ -412,32 +432,3 @@
     def _answer_metrics(self, pending: PendingRequest) -> None:
         headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
         pending.respond(CallerAnswer(200, headers, self._metrics.render()))
-
-    def _read_state(self) -> EdgeState:
-        """Return the state for the metrics collector."""
-        table = self._routes.table
-        now_s = self._clock.now_s()
-        return EdgeState(
-            requests_in_flight=self._handler.in_flight,
-            routes_number=table.number if table else 0,
-            servers=len(self._backends),
-            limited_servers=self._backends.limited_count(),
-            members=Counter(status.state.value for status in self._node.members.list_members()),
-            store_silence_s=now_s - max(feed.last_success_s for feed in self._feeds),
-            object_ages_s={
-                key: now_s - updated_at_s for key, updated_at_s in self._updated_at_s.items()
-            },
-            store_calls={
-                **{feed.name: feed.calls for feed in self._feeds},
-                "probe": self._probe.calls,
-            },
-            store_failures={
-                **{feed.name: feed.failures for feed in self._feeds},
-                "probe": self._probe.failures,
-            },
-            region_sends=self._region_sends.counts,
-            connections_opened=self._backends.connections_opened(),
-            log_lines_dropped_full=self._log.lines_dropped_buffer_full,
-            log_lines_dropped_rate=self._log.lines_dropped_over_rate,
-            log_lines_dropped_unwritable=self._log.lines_dropped_unwritable,
-        )
--- a/berylchute/edgesettings.py
+++ b/berylchute/edgesettings.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from berylchute.callerlimits import MAX_FDS_DEFAULT, RequestLimits
 from berylchute.headernames import HeaderNames
 from berylchute.retrybudget import RetryBounds
 from berylchute.settings import Settings
@@ -19,7 +20,9 @@
     `zone_regions` maps availability zones to regions. `grace_s` is the time from the stop signal
     to the kill, `change_apply_s` the time from the store's acknowledgement of a change until all
     members must follow it. `is_first_start` is set while all hosts start for the first time, before
-    there are callers. `metrics_address` is `ip:port`; metrics are not served if it is empty.
+    there are callers. `admission_by_rank` lets the rank of requests decide which are served
+    while servers are short of room. `metrics_address` is `ip:port`; metrics are not served if it is
+    empty. `max_fds` is the number of descriptors that the process may have open, with files.
     """
 
     node: Settings
@@ -30,3 +33,6 @@
     header_names: HeaderNames = HeaderNames()
     change_apply_s: float = CHANGE_APPLY_DEFAULT_S
     is_first_start: bool = False
+    admission_by_rank: bool = False
+    request_limits: RequestLimits = RequestLimits()
+    max_fds: int = MAX_FDS_DEFAULT
--- a/berylchute/exceptions.py
+++ b/berylchute/exceptions.py
@@ -12,9 +12,11 @@
     "ExchangeError",
     "HistoryGone",
     "ListenError",
+    "NoConnectionLeft",
     "NotSent",
     "PeerError",
     "RoutingError",
+    "SendWithdrawn",
     "SettingsError",
     "StoreConflict",
     "StoreError",
@@ -117,6 +119,16 @@
     code = "not_sent"
 
 
+class SendWithdrawn(NotSent):
+    """The configuration changed before a byte was sent; the server has not failed."""
+
+    code = "send_withdrawn"
+
+
+class NoConnectionLeft(NotSent):
+    """No more connections may be opened from here, which is no failure of the server."""
+
+
 class AnswerLost(ExchangeError):
     """The request was sent and no complete answer arrived; it may have run."""
 
--- a/tests/edgeprocess.py
+++ b/tests/edgeprocess.py
@@ -3,7 +3,7 @@
 import asyncio
 import os
 import sys
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine, Mapping, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
 from random import Random
@@ -31,7 +31,9 @@
     addresses: wire.EdgeAddresses
     store_address: str
     memory_mb: float = 300.0
+    max_fds: int | None = None
     startup_code: str = ""
+    store: StoreStandIn | None = None
     process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
@@ -40,7 +42,10 @@
         text = wire.settings_text(
             "edge-1", "za", self.addresses, [], self.store_address, grace_s=GRACE_S
         )
-        settings.write_text(f"{text}limits.memory-mb={self.memory_mb:g}\n")
+        text += f"limits.memory-mb={self.memory_mb:g}\n"
+        if self.max_fds is not None:
+            text += f"limits.max-fds={self.max_fds}\n"
+        settings.write_text(text)
         (self.folder / "sitecustomize.py").write_text(self.startup_code)
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -55,6 +60,16 @@
                 },
             )
 
+    async def configure(
+        self, number: int, keys: Mapping[str, Sequence[str]], **changes: object
+    ) -> None:
+        """Put a configuration with organisations and their keys into the store."""
+        assert self.store is not None
+        routes = dict(wire.routes_document(number, "svc-0", ["svc-0"], keys))
+        routes["limits"] = {**routes["limits"], "max-body-bytes": BODY_BYTES_MAX}
+        routes["routes"] = [{**route, "timeout-s": 6.0, **changes} for route in routes["routes"]]
+        await self.store.put(*wire.ROUTES_KEY, routes)
+
     @property
     def log(self) -> Path:
         """Return the file with the output of the process."""
@@ -111,11 +126,17 @@
 
 @asynccontextmanager
 async def start_world(
-    folder: Path, *, servers: int = 1, startup_code: str = "", handle: Handle | None = None
+    folder: Path,
+    *,
+    servers: int = 1,
+    startup_code: str = "",
+    handle: Handle | None = None,
+    slots: int = 99,
 ) -> AsyncIterator[tuple[EdgeProcess, list[ServerStandIn]]]:
     """Start a store and servers, and yield them with a process that is not started yet.
 
-    With `handle`, four more servers of the same service serve their connections with it.
+    With `handle`, four more servers of the same service, each with `slots`, serve their
+    connections with it.
     """
     ports = iter(free_ports(7 + servers))
     addresses = wire.EdgeAddresses(
@@ -138,14 +159,13 @@
         listeners.append(listener)
         address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
         document = wire.server_document(
-            "svc-0", address, "za", slots=99, started_ms=1, is_draining=False
+            "svc-0", address, "za", slots=slots, started_ms=1, is_draining=False
         )
         await store.put(wire.SERVERS_COLLECTION, f"h-{number}", *document)
-    routes = dict(wire.routes_document(1, "svc-0", ["svc-0"]))
-    routes["limits"] = {**routes["limits"], "max-body-bytes": BODY_BYTES_MAX}
-    routes["routes"] = [{**route, "timeout-s": 6.0} for route in routes["routes"]]
-    await store.put(*wire.ROUTES_KEY, routes)
-    edge = EdgeProcess(folder, addresses, f"127.0.0.1:{store_port}", startup_code=startup_code)
+    edge = EdgeProcess(
+        folder, addresses, f"127.0.0.1:{store_port}", startup_code=startup_code, store=store
+    )
+    await edge.configure(1, {})
     try:
         yield edge, stand_ins
     finally:
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from berylchute.callerlimits import MAX_FDS_DEFAULT
 from berylchute.exceptions import SettingsError
 from berylchute_platform.settings import load
 
@@ -71,6 +72,15 @@
     assert load(_file(tmp_path, text)).edge.change_apply_s == change_apply_s
 
 
+@pytest.mark.parametrize(
+    "line, is_enabled",
+    [("", False), ("contracts=base,quota,platform\n", True), ("contracts=base,quotas\n", False)],
+)
+def test_ranks_count_under_their_contract_only(line: str, is_enabled: bool, tmp_path: Path) -> None:
+    # Guard against reserves in an installation without the contract, and none in one with it.
+    assert load(_file(tmp_path, TEXT + line)).edge.admission_by_rank is is_enabled
+
+
 def test_all_invalid_fields_are_listed(tmp_path: Path) -> None:
     # Guard against a settings error that names only the first of several invalid fields.
     text = TEXT.replace("zone=xela-a\n", "", 1).replace("10.200.1.7:8541", "nowhere")
@@ -87,3 +97,9 @@
     # Guard against an unexpected exception at the start when the settings file is missing.
     with pytest.raises(SettingsError):
         load(tmp_path / "none.conf")
+
+
+def test_descriptors_of_the_host_are_read(tmp_path: Path) -> None:
+    # Guard against connections that exceed the descriptors of a host.
+    assert load(_file(tmp_path, TEXT + "limits.max-fds=1535\n")).edge.max_fds == 1535
+    assert load(_file(tmp_path, TEXT)).edge.max_fds == MAX_FDS_DEFAULT
