Move the graceful stop, the choice of watchers and the log's writes out of edge.py

Change: gracefulstop.py, StoreWatchSelector in assignments.py, EventLog.flush_forever; no change of behaviour.

--- a/berylchute/assignments.py
+++ b/berylchute/assignments.py
@@ -7,14 +7,23 @@
 from hashlib import blake2b
 
 from berylchute.discovery import MemberDiscovery
-from berylchute.types import MemberState, MemberStatus
+from berylchute.storecontact import StoreContact
+from berylchute.types import Clock, MemberState, MemberStatus, MemberView
 
-__all__ = ["WATCHER_COUNT", "ColdSenderSelector", "should_watch_store"]
+__all__ = [
+    "FIRST_START_S",
+    "WATCHER_COUNT",
+    "ColdSenderSelector",
+    "StoreWatchSelector",
+    "should_watch_store",
+]
 
 # Members that watch the store and publish its changes to the others. With three regions, all four
 # are in the same one once in 27 draws, so one nearly always survives the loss of a region; each
 # further one costs calls to the store.
 WATCHER_COUNT = 4
+# Time of a first start in which the members that are to watch the store begin to.
+FIRST_START_S = 5.0
 
 
 def should_watch_store(
@@ -37,6 +46,33 @@
     return sum(1 for _ in preferred_watchers) < WATCHER_COUNT
 
 
+class StoreWatchSelector:
+    """Select the members that watch the store, all of them while none hears of its answers."""
+
+    def __init__(
+        self,
+        own_host_id: str,
+        contact: StoreContact,
+        members: MemberView,
+        clock: Clock,
+        *,
+        is_first_start: bool,
+    ) -> None:
+        self._own_host_id = own_host_id
+        self._contact = contact
+        self._members = members
+        self._clock = clock
+        self._first_start_until_s = clock.now_s() + FIRST_START_S if is_first_start else 0.0
+
+    def should_watch(self) -> bool:
+        """Return whether this member should watch the store."""
+        return self._contact.is_lost or should_watch_store(
+            self._own_host_id,
+            self._members.list_members(),
+            is_first_start=self._clock.now_s() < self._first_start_until_s,
+        )
+
+
 class ColdSenderSelector:
     """Select the one member that sends to a cold server, among those of the server's region.
 
--- a/berylchute/collection.py
+++ b/berylchute/collection.py
@@ -15,7 +15,6 @@
 from berylchute.types import Clock, StoredObject
 
 __all__ = [
-    "FIRST_START_S",
     "Collection",
     "CollectionChanges",
     "CollectionFeed",
@@ -38,8 +37,6 @@
 # them reads and watches every collection before it knows that others do. The watching members need
 # about a second until the others have heard of them.
 FIRST_READ_DELAY_RANGE_S = (1.0, 3.0)
-# Time of a first start in which the members that are to watch the store begin to.
-FIRST_START_S = 5.0
 # Period of the check whether another member has published the collection during a first start.
 FIRST_START_CHECK_PERIOD_S = 0.1
 # Servers whose entries expired during a store outage register again within about 2 s.
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -10,14 +10,13 @@
 
 from berylchute import __version__
 from berylchute.allotments import AllotmentMessages, AllotmentPermits
-from berylchute.assignments import ColdSenderSelector, should_watch_store
+from berylchute.assignments import ColdSenderSelector, StoreWatchSelector
 from berylchute.backends import Backends
 from berylchute.background import BackgroundTasks
 from berylchute.bodymemory import BodyMemory
 from berylchute.callerlimits import CallerGuard
 from berylchute.callers import CallerAnswer, CallerServer, PendingRequest
 from berylchute.collection import (
-    FIRST_START_S,
     Collection,
     CollectionFeed,
     CollectionStore,
@@ -30,6 +29,7 @@
 from berylchute.edgestate import EdgeStateReader
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import ConfigError, ListenError, SettingsError, first_error
+from berylchute.gracefulstop import stop_gracefully
 from berylchute.memberlog import MemberLog
 from berylchute.membership import MembershipTiming
 from berylchute.node import BootClock, Node
@@ -45,7 +45,6 @@
 from berylchute.servers import Server
 from berylchute.sharedobjects import SHARED_KEYS
 from berylchute.spillshare import SpillLimiter
-from berylchute.stoptimes import StopTimes
 from berylchute.storecontact import StoreContact, StoreProbe
 from berylchute.types import StoredObject
 
@@ -53,24 +52,11 @@
 
 # Interval of updates of this member's own record; well below the heartbeat of members.
 REPORT_INTERVAL_S = 0.25
-# Interval of writes of the event log. A pipe of 64 KiB holds what is logged in this time at the
-# log's rate limits.
-LOG_FLUSH_S = 0.2
 # With the default intervals, messages between members take more CPU time than requests. A member
 # is suspect after three missed heartbeats.
 MEMBER_TIMING = MembershipTiming(
     heartbeat_period_s=0.5, suspect_after_s=1.6, digest_period_s=1.0, own_pause_min_s=1.2
 )
-# After the stop signal, connections are kept open for this long, until most callers have refreshed
-# the directory: half of the time for which they cache its answer.
-STOP_CLOSE_DELAY_S = 1.0
-# Then each connection is closed after its next answer. New ones are accepted until this time after
-# the signal, since some callers cache the directory three times as long as its TTL.
-STOP_LISTEN_S = 3.5
-STOP_POLL_S = 0.05
-# Time reserved for the exit itself, with a margin for a busy host.
-STOP_MARGIN_S = 0.4
-
 logger = logging.getLogger(__name__)
 
 
@@ -123,8 +109,12 @@
         self._background_tasks = BackgroundTasks()
         self._metrics = EdgeMetrics()
         self._region_sends = RegionSends(self._clock)
-        self._first_start_until_s = (
-            self._clock.now_s() + FIRST_START_S if settings.is_first_start else 0.0
+        watch_selector = StoreWatchSelector(
+            host,
+            self._store_contact,
+            self._node.members,
+            self._clock,
+            is_first_start=settings.is_first_start,
         )
         first_read_delay_s = choose_first_read_delay_s(
             self._rng,
@@ -142,7 +132,7 @@
                 self._clock,
                 self._rng,
                 self._receive_object,
-                self._should_watch_store,
+                watch_selector.should_watch,
                 self._store_contact.watch_wait_s,
                 self._node.objects.version,
                 first_read_delay_s,
@@ -268,7 +258,7 @@
         self._log.event("start", version=__version__, callers=self._settings.node.listen.http)
         loop = asyncio.get_running_loop()
         async with anyio.create_task_group() as tasks, self._background_tasks as background_tasks:
-            background_tasks.start_lasting(self._flush_forever)
+            background_tasks.start_lasting(self._log.flush_forever)
             signals.attach(lambda: self._notify_signalled(loop))
             start_scope = anyio.CancelScope()
             tasks.start_soon(self._follow_signals, signals, start_scope)
@@ -280,7 +270,15 @@
                     listen_error = group
             if listen_error is None and not start_scope.cancelled_caught:
                 await self._stop_requested.wait()
-                await self._stop()
+                self._is_stopping = True
+                await stop_gracefully(
+                    self._node,
+                    self._handler,
+                    self._caller_server,
+                    self._clock,
+                    self._log,
+                    self._settings.grace_s,
+                )
             signals.detach()
             tasks.cancel_scope.cancel()
         self._log.event("stop", in_flight=self._handler.in_flight)
@@ -337,13 +335,6 @@
                 known_version=known.version,
             )
 
-    def _should_watch_store(self) -> bool:
-        return self._store_contact.is_lost or should_watch_store(
-            self._node.record.host_id,
-            self._node.members.list_members(),
-            is_first_start=self._clock.now_s() < self._first_start_until_s,
-        )
-
     def _is_cold_sender(self, server: Server) -> bool:
         return self._cold_sender_selector.is_cold_sender(
             server.entry.server_id,
@@ -383,11 +374,6 @@
             self._node.set_ready(self._published_ready)
             self._log.event("ready", ready=self._published_ready)
 
-    async def _flush_forever(self) -> None:
-        while True:
-            await anyio.sleep(LOG_FLUSH_S)
-            self._log.flush()
-
     def _reload(self) -> None:
         """Apply the settings that may change without a restart; keep the old ones if invalid."""
         try:
@@ -405,30 +391,6 @@
             or settings.metrics_address != before.metrics_address,
         )
 
-    async def _stop(self) -> None:
-        """Leave the directory, finish requests in flight, and close connections step by step."""
-        started_s = self._clock.now_s()
-        self._is_stopping = True
-        self._log.event("stopping", in_flight=self._handler.in_flight)
-        deadline_s = started_s + self._settings.grace_s - STOP_MARGIN_S
-        self._handler.stop_times = StopTimes(started_s + self._settings.grace_s / 2.0, deadline_s)
-        self._node.set_ready(False)
-        self._node.announce_leaving()
-        await anyio.sleep(STOP_CLOSE_DELAY_S)
-        self._caller_server.is_closing = True
-        is_listening = True
-        while self._clock.now_s() < deadline_s:
-            self._caller_server.close_idle()
-            elapsed_s = self._clock.now_s() - started_s
-            if is_listening and elapsed_s >= min(STOP_LISTEN_S, self._settings.grace_s / 2.0):
-                is_listening = False
-                self._caller_server.stop_listening()
-            if not is_listening and not self._caller_server.connections:
-                return
-            await anyio.sleep(STOP_POLL_S)
-        self._handler.end_unfinished()
-        await anyio.sleep(STOP_POLL_S)
-
     def _answer_metrics(self, pending: PendingRequest) -> None:
         headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
         pending.respond(CallerAnswer(200, headers, self._metrics.render()))
--- a/berylchute/eventlog.py
+++ b/berylchute/eventlog.py
@@ -5,6 +5,7 @@
 import time
 from collections import deque
 
+import anyio
 import msgspec
 
 __all__ = ["EventLog"]
@@ -18,6 +19,8 @@
 REQUEST_LINES_PER_S = 40
 FAILURE_LINES_PER_S = 80
 _WRITE_CHUNK_BYTES = 65_536
+# Interval of writes. A pipe of 64 KiB holds what is logged in this time at the rate limits.
+FLUSH_INTERVAL_S = 0.2
 
 
 class EventLog(logging.Handler):
@@ -86,6 +89,12 @@
                 return
             self._unwritten = self._unwritten[written_bytes:]
 
+    async def flush_forever(self) -> None:
+        """Write buffered lines at intervals until cancelled."""
+        while True:
+            await anyio.sleep(FLUSH_INTERVAL_S)
+            self.flush()
+
     def _report_dropped(self) -> None:
         dropped = (
             self.lines_dropped_buffer_full
--- a/tests/watchfleet.py
+++ b/tests/watchfleet.py
@@ -6,9 +6,8 @@
 
 import attrs
 
-from berylchute.assignments import should_watch_store
+from berylchute.assignments import StoreWatchSelector
 from berylchute.collection import (
-    FIRST_START_S,
     Collection,
     CollectionChanges,
     CollectionFeed,
@@ -104,7 +103,6 @@
     ) -> None:
         self._fleet = fleet
         self._clock = LoopClock()
-        first_start_until_s = self._clock.now_s() + FIRST_START_S
         self.name = name
         self.known: dict[str, float] = {}
         record = member(name, zone, zone[0], peer_address=name).record
@@ -123,14 +121,9 @@
             self._clock,
             Random(name),
             lambda stored: fleet.deliver(name, self.replication.apply_object(stored)),
-            lambda: (
-                contact.is_lost
-                or should_watch_store(
-                    name,
-                    membership.list_members(),
-                    is_first_start=is_first_start and self._clock.now_s() < first_start_until_s,
-                )
-            ),
+            StoreWatchSelector(
+                name, contact, membership, self._clock, is_first_start=is_first_start
+            ).should_watch,
             contact.watch_wait_s,
             self.replication.objects.version,
             choose_first_read_delay_s(
