--- a/tests/allotmentfleet.py
+++ b/tests/allotmentfleet.py
@@ -196,7 +196,11 @@
 
     def split(self, zones: Collection[str]) -> None:
         """Cut the hosts of some zones off from the others."""
-        self.sides = {name: int(host.zone in zones) for name, host in self.hosts.items()}
+        self.split_hosts([name for name, host in self.hosts.items() if host.zone in zones])
+
+    def split_hosts(self, names: Collection[str]) -> None:
+        """Cut some hosts off from the others, which may be of the same zones."""
+        self.sides = {name: int(name in names) for name in self.hosts}
 
     def heal(self) -> None:
         self.sides = {}
--- a/tests/test_allotmentfleet.py
+++ b/tests/test_allotmentfleet.py
@@ -278,3 +278,24 @@
         await asyncio.sleep(20.0)
 
     assert play(organisations, 1, main).messages == 0
+
+
+@pytest.mark.parametrize("rate_per_s", [24.0, 430.0])
+def test_no_window_is_exceeded_when_all_hosts_restart_in_a_partition_within_zones(
+    rate_per_s: float,
+) -> None:
+    # Guard against hosts that restart cut off from others of their zone, take themselves for all
+    # members of these zones and grant the whole rate on either side.
+    organisation = Organisation("o", rate_per_s, rate_per_s)
+
+    async def main(fleet: AllotmentFleet) -> None:
+        fleet.demand("o", rate_per_s * (5.0 if rate_per_s < 100.0 else 2.0), 18.0)
+        await asyncio.sleep(2.0)
+        fleet.split_hosts([name for name in fleet.strong_names if name.endswith("0")])
+        for name in list(fleet.hosts):
+            fleet.restart(name)
+        await asyncio.sleep(16.0)
+
+    fleet = play([organisation], 1, main)
+    assert fleet.sends["o"]
+    assert most_used_ratio(fleet.sends["o"], organisation) <= 1.0
