Answer a request for another protocol once

The parser stops after a request with Upgrade, or CONNECT, and raises after the request was passed on. The raised error was answered with a second response, status 400, which a caller takes for the answer to its next request.

Such a request is now the last one of its connection; what follows it is discarded. The new test failed with two responses for all three requests.

--- a/berylchute/requestreader.py
+++ b/berylchute/requestreader.py
@@ -207,7 +207,8 @@
 
     def should_keep_alive(self) -> bool:
         """Return whether the caller may send another request after the complete one."""
-        return bool(self._parser.should_keep_alive())
+        # The parser reads nothing after a request that asks for another protocol, or CONNECT.
+        return bool(self._parser.should_keep_alive()) and not self._parser.should_upgrade()
 
     def discard(self) -> None:
         """Free what is held of an incomplete request; nothing more can be parsed."""
--- a/tests/test_callerlimits.py
+++ b/tests/test_callerlimits.py
@@ -250,3 +250,22 @@
     caller.server.limits = CallerLimits(body_bytes_max=10)
     caller.send(b"POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n")
     assert caller.status == b"413"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n",
+        b"POST / HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\nContent-Length: 1\r\n\r\na",
+        b"CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n",
+    ],
+)
+def test_request_for_another_protocol_gets_one_answer(data: bytes) -> None:
+    # Guard against a second answer, which the caller takes for the one to its next request.
+    caller = _Caller()
+    caller.send(data + b"GET / HTTP/1.1\r\n\r\n")
+    (pending,) = caller.requests
+    pending.respond(CallerAnswer(200))
+    assert caller.transport.written.count(b"HTTP/1.1 ") == 1
+    assert b"Connection: close" in caller.transport.written and caller.transport.is_closed
+    assert caller.server.body_memory.held_bytes == 0
