Keep connections idle after a blank line

Some clients send a blank line after a body. When it arrived in a read of its own it began the time for a request head, so that the idle connection got status 408 and was closed after the header timeout instead of the idle timeout; the caller's next request could meet the close.

Blank lines are counted as before and begin no request. The new test failed with status 408 for the line in a read of its own.

--- a/berylchute/requestreader.py
+++ b/berylchute/requestreader.py
@@ -116,13 +116,13 @@
         self._now_s = now_s
         self.events = 0
         if not self._has_begun:
-            if self.started_s is None:
-                self.started_s = now_s
-                self.is_reading_head = True
             if data[0] in _LINE_ENDS:
                 data = self._skip_blank(data)
                 if not data:
                     return
+            if self.started_s is None:
+                self.started_s = now_s
+                self.is_reading_head = True
         size_bytes = len(data)
         # Bytes of a pipelined request that arrive with the end of the previous one don't count.
         self._part_bytes = size_bytes
--- a/tests/test_callerlimits.py
+++ b/tests/test_callerlimits.py
@@ -276,3 +276,21 @@
     caller = _Caller()
     caller.send(CHUNKED + (b"14\r\n%s\r\n" % (b"x" * 20)) * 150_000 + b"0\r\n\r\n")
     assert [len(pending.request.body) for pending in caller.requests] == [3_000_000]
+
+
+@pytest.mark.parametrize("is_with_body", [True, False])
+def test_blank_line_after_a_body_does_not_begin_a_request(is_with_body: bool) -> None:
+    # Guard against an idle connection that gets status 408, and is closed before the idle timeout,
+    # since its caller sends a blank line after a body.
+    caller = _Caller()
+    clock = caller.server.clock
+    assert isinstance(clock, ManualClock)
+    body = b"POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\na"
+    for data in [body + b"\r\n"] if is_with_body else [body, b"\r\n"]:
+        caller.send(data)
+    caller.requests.pop().respond(CallerAnswer(200))
+    clock.now += caller.server.limits.header_timeout_s + 1.0
+    caller.connection.close_if_timed_out(clock.now)
+    caller.send(b"GET /n HTTP/1.1\r\n\r\n")
+    assert [pending.request.target for pending in caller.requests] == [b"/n"]
+    assert b" 408 " not in caller.transport.written
