Don't refuse requests as late that wait to be read

Reading pauses while 64 pipelined requests are in flight. A head of which a part was parsed by then counted as late after the header timeout, so that a request sent in time got status 408 when the earlier ones took longer, and those after it were lost.

The time of an incomplete request starts anew while reading is paused. The new test failed: of 400 requests those after the first part of the read were not passed on.

--- a/berylchute/callerconnection.py
+++ b/berylchute/callerconnection.py
@@ -266,6 +266,8 @@
             stalled_s = now_s - self._writer.paused_s
             if stalled_s > limits.idle_timeout_s:
                 self._abort(Cause.NOT_READING, f"it has read nothing for {stalled_s:.1f} s")
+        elif self._is_paused:
+            self._reader.restart_time(now_s)
         elif self._reader.started_s is not None:
             is_head_late = self._reader.is_reading_head and (
                 now_s - self._reader.started_s > limits.header_timeout_s
--- a/berylchute/requestreader.py
+++ b/berylchute/requestreader.py
@@ -178,6 +178,11 @@
         """Return how many bytes of a body of declared length are still to come."""
         return 0 if self.is_reading_head else max(0, self._length - len(self._body))
 
+    def restart_time(self, now_s: float) -> None:
+        """Start the time of an incomplete request anew while its connection is not read."""
+        if self.started_s is not None:
+            self.started_s = now_s
+
     def is_slow(self, now_s: float) -> bool:
         """Return whether the body arrives too slowly to keep a connection that others need."""
         lasted_s = now_s - (self.started_s if self.started_s is not None else now_s)
--- a/tests/test_callerlimits.py
+++ b/tests/test_callerlimits.py
@@ -294,3 +294,22 @@
     caller.send(b"GET /n HTTP/1.1\r\n\r\n")
     assert [pending.request.target for pending in caller.requests] == [b"/n"]
     assert b" 408 " not in caller.transport.written
+
+
+def test_head_that_waits_to_be_read_is_not_late() -> None:
+    # Guard against status 408 for a request that was sent in time, while earlier ones of its
+    # connection are in flight and reading is paused.
+    caller = _Caller()
+    clock = caller.server.clock
+    assert isinstance(clock, ManualClock)
+    request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+    caller.send(request * 400)
+    assert caller.transport.is_paused and len(caller.requests) < 400
+    clock.now += caller.server.limits.header_timeout_s + caller.server.limits.idle_timeout_s
+    caller.connection.close_if_timed_out(clock.now)
+    for number in range(400):
+        caller.requests[number].respond(CallerAnswer(200))
+        caller.run_waiting()
+        caller.connection.close_if_timed_out(clock.now)
+    assert caller.transport.written.count(b"HTTP/1.1 200 ") == 400
+    assert b" 408 " not in caller.transport.written
