Answer requests that wait to be parsed at a stop

A turn of the event loop may end between two pipelined requests that were read. With no request in flight the connection then looked idle, and a stop, or a nearly full connection limit, closed it without an answer to the rest.

A connection with bytes that are not parsed is not idle; the next request is answered as the last one. The new test failed: no request was answered after the stop.

--- a/berylchute/callerconnection.py
+++ b/berylchute/callerconnection.py
@@ -251,7 +251,8 @@
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is in flight or partly received."""
-        if not self._pending and not self._writer.is_unsent and self._reader.started_s is None:
+        is_received = self._unparsed or self._reader.started_s is not None
+        if not self._pending and not self._writer.is_unsent and not is_received:
             self._close()
 
     def close_if_timed_out(self, now_s: float) -> None:
@@ -339,10 +340,8 @@
         self.report(cause, f"refused with status {status.value}")
         self._is_closing = True
         self._release_received()
-        request = CallerRequest.empty(b"GET", self._last_activity_s)
-        self._pending.append(
-            PendingRequest(self, request, keep_alive=False, answer=CallerAnswer(status))
-        )
+        request, answer = CallerRequest.empty(b"GET", self._last_activity_s), CallerAnswer(status)
+        self._pending.append(PendingRequest(self, request, keep_alive=False, answer=answer))
         self._flush()
 
     def report(self, cause: Cause, text: str) -> None:
--- a/tests/test_callerlimits.py
+++ b/tests/test_callerlimits.py
@@ -313,3 +313,21 @@
         caller.connection.close_if_timed_out(clock.now)
     assert caller.transport.written.count(b"HTTP/1.1 200 ") == 400
     assert b" 408 " not in caller.transport.written
+
+
+def test_stop_serves_requests_that_wait_to_be_parsed() -> None:
+    # Guard against a stop that closes a connection between two of its requests that were read.
+    caller = _Caller()
+    caller.server.handle = lambda pending: pending.respond(CallerAnswer(200))
+    request = b"GET /%s HTTP/1.1\r\n\r\n" % (b"x" * 46)
+    assert 4096 % len(request) == 0
+    part = request * 200
+    caller.server.read_buffer[: len(part)] = part
+    caller.connection.buffer_updated(len(part))
+    answered = caller.transport.written.count(b"HTTP/1.1 200 ")
+    assert answered < 200
+    caller.server.is_closing = True
+    caller.connection.close_if_idle()
+    caller.run_waiting()
+    assert caller.transport.written.count(b"HTTP/1.1 200 ") == answered + 1
+    assert caller.transport.written.count(b"Connection: close") == 1 and caller.transport.is_closed
