--- a/berylchute/requestreader.py
+++ b/berylchute/requestreader.py
@@ -116,13 +116,13 @@
         self._now_s = now_s
         self.events = 0
         if not self._has_begun:
-            if self.started_s is None:
-                self.started_s = now_s
-                self.is_reading_head = True
             if data[0] in _LINE_ENDS:
                 data = self._skip_blank(data)
                 if not data:
                     return
+            if self.started_s is None:
+                self.started_s = now_s
+                self.is_reading_head = True
         size_bytes = len(data)
         # Bytes of a pipelined request that arrive with the end of the previous one don't count.
         self._part_bytes = size_bytes
@@ -178,6 +178,11 @@
         """Return how many bytes of a body of declared length are still to come."""
         return 0 if self.is_reading_head else max(0, self._length - len(self._body))
 
+    def restart_time(self, now_s: float) -> None:
+        """Start the time of an incomplete request anew while its connection is not read."""
+        if self.started_s is not None:
+            self.started_s = now_s
+
     def is_slow(self, now_s: float) -> bool:
         """Return whether the body arrives too slowly to keep a connection that others need."""
         lasted_s = now_s - (self.started_s if self.started_s is not None else now_s)
@@ -207,7 +212,8 @@
 
     def should_keep_alive(self) -> bool:
         """Return whether the caller may send another request after the complete one."""
-        return bool(self._parser.should_keep_alive())
+        # The parser reads nothing after a request that asks for another protocol, or CONNECT.
+        return bool(self._parser.should_keep_alive()) and not self._parser.should_upgrade()
 
     def discard(self) -> None:
         """Free what is held of an incomplete request; nothing more can be parsed."""
--- a/tests/test_callerlimits.py
+++ b/tests/test_callerlimits.py
@@ -250,3 +250,84 @@
     caller.server.limits = CallerLimits(body_bytes_max=10)
     caller.send(b"POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n")
     assert caller.status == b"413"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n",
+        b"POST / HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\nContent-Length: 1\r\n\r\na",
+        b"CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n",
+    ],
+)
+def test_request_for_another_protocol_gets_one_answer(data: bytes) -> None:
+    # Guard against a second answer, which the caller takes for the one to its next request.
+    caller = _Caller()
+    caller.send(data + b"GET / HTTP/1.1\r\n\r\n")
+    (pending,) = caller.requests
+    pending.respond(CallerAnswer(200))
+    assert caller.transport.written.count(b"HTTP/1.1 ") == 1
+    assert b"Connection: close" in caller.transport.written and caller.transport.is_closed
+    assert caller.server.body_memory.held_bytes == 0
+
+
+def test_large_body_in_chunks_of_twenty_bytes_is_served() -> None:
+    # Guard against a bound on overhead below what legal chunks of a large body need.
+    caller = _Caller()
+    caller.send(CHUNKED + (b"14\r\n%s\r\n" % (b"x" * 20)) * 150_000 + b"0\r\n\r\n")
+    assert [len(pending.request.body) for pending in caller.requests] == [3_000_000]
+
+
+@pytest.mark.parametrize("is_with_body", [True, False])
+def test_blank_line_after_a_body_does_not_begin_a_request(is_with_body: bool) -> None:
+    # Guard against an idle connection that gets status 408, and is closed before the idle timeout,
+    # since its caller sends a blank line after a body.
+    caller = _Caller()
+    clock = caller.server.clock
+    assert isinstance(clock, ManualClock)
+    body = b"POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\na"
+    for data in [body + b"\r\n"] if is_with_body else [body, b"\r\n"]:
+        caller.send(data)
+    caller.requests.pop().respond(CallerAnswer(200))
+    clock.now += caller.server.limits.header_timeout_s + 1.0
+    caller.connection.close_if_timed_out(clock.now)
+    caller.send(b"GET /n HTTP/1.1\r\n\r\n")
+    assert [pending.request.target for pending in caller.requests] == [b"/n"]
+    assert b" 408 " not in caller.transport.written
+
+
+def test_head_that_waits_to_be_read_is_not_late() -> None:
+    # Guard against status 408 for a request that was sent in time, while earlier ones of its
+    # connection are in flight and reading is paused.
+    caller = _Caller()
+    clock = caller.server.clock
+    assert isinstance(clock, ManualClock)
+    request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+    caller.send(request * 400)
+    assert caller.transport.is_paused and len(caller.requests) < 400
+    clock.now += caller.server.limits.header_timeout_s + caller.server.limits.idle_timeout_s
+    caller.connection.close_if_timed_out(clock.now)
+    for number in range(400):
+        caller.requests[number].respond(CallerAnswer(200))
+        caller.run_waiting()
+        caller.connection.close_if_timed_out(clock.now)
+    assert caller.transport.written.count(b"HTTP/1.1 200 ") == 400
+    assert b" 408 " not in caller.transport.written
+
+
+def test_stop_serves_requests_that_wait_to_be_parsed() -> None:
+    # Guard against a stop that closes a connection between two of its requests that were read.
+    caller = _Caller()
+    caller.server.handle = lambda pending: pending.respond(CallerAnswer(200))
+    request = b"GET /%s HTTP/1.1\r\n\r\n" % (b"x" * 46)
+    assert 4096 % len(request) == 0
+    part = request * 200
+    caller.server.read_buffer[: len(part)] = part
+    caller.connection.buffer_updated(len(part))
+    answered = caller.transport.written.count(b"HTTP/1.1 200 ")
+    assert answered < 200
+    caller.server.is_closing = True
+    caller.connection.close_if_idle()
+    caller.run_waiting()
+    assert caller.transport.written.count(b"HTTP/1.1 200 ") == answered + 1
+    assert caller.transport.written.count(b"Connection: close") == 1 and caller.transport.is_closed
