Remove the check for early repeats by request id

Cause: each attempt of a caller has its own request id, so the due times remembered by id never matched a repeat; 4,096 ids of a service were kept for nothing. Repeats before their time are told by their remaining time (ReturnDetector), as they were in effect.

--- a/berylchute/priorities/requestranks.py
+++ b/berylchute/priorities/requestranks.py
@@ -27,9 +27,6 @@
     def record_selection(self, active: ActiveRequest, selection: Selection) -> None:
         """Count the result of a request's first selection."""
 
-    def is_early(self, service: str, request_id: str) -> bool:
-        """Return whether a request repeats a refused one before its scheduled time."""
-
     def refuse(self, active: ActiveRequest, remaining_s: float, earliest_s: float) -> float:
         """Count a refused request; return the delay after which its caller should return."""
 
@@ -50,10 +47,6 @@
     def record_selection(self, active: ActiveRequest, selection: Selection) -> None:
         """Do nothing."""
 
-    def is_early(self, service: str, request_id: str) -> bool:
-        """Return False: returns have no scheduled time."""
-        return False
-
     def refuse(self, active: ActiveRequest, remaining_s: float, earliest_s: float) -> float:
         """Return a random delay, at least `earliest_s`."""
         return choose_delay_s(remaining_s, self._rng, earliest_s=earliest_s)
@@ -86,11 +79,6 @@
             now_s = self._clock.now_s()
             self._admission.record_selection(_class_of(active), selection, now_s)
 
-    def is_early(self, service: str, request_id: str) -> bool:
-        """Return whether a request repeats a refused one before its scheduled time."""
-        schedule = self._schedules.get(service)
-        return schedule is not None and schedule.is_early(request_id, self._clock.now_s())
-
     def refuse(self, active: ActiveRequest, remaining_s: float, earliest_s: float) -> float:
         """Count a refused request; return the delay after which its caller should return."""
         request_class = _class_of(active)
@@ -99,7 +87,6 @@
         if schedule is None:
             schedule = self._schedules[active.service] = ReturnSchedule()
         return schedule.schedule(
-            active.request.request_id,
             remaining_s,
             self._admission.return_room_per_s(request_class),
             self._admission.position(request_class),
--- a/berylchute/priorities/returnschedule.py
+++ b/berylchute/priorities/returnschedule.py
@@ -1,10 +1,8 @@
-"""Schedule when refused callers return, and recognise those that keep to it.
+"""Schedule when refused callers return.
 
 Handles load: a crowd that is refused at once and would return as a second wave.
 """
 
-import math
-from collections import OrderedDict
 from random import Random
 
 from berylchute.retryafter import DELAY_RATIO_RANGE
@@ -18,11 +16,6 @@
 # Part of the range of delays that is closed to a rank at its end of the range: the latest times to
 # the most urgent rank, the earliest ones to the least urgent rank.
 CLOSED_PART = 0.3
-# Clocks and connections may let a caller that keeps to its time arrive this much earlier.
-EARLY_TOLERANCE_S = 0.02
-# Scheduled callers that are remembered; a caller that was forgotten is judged by its remaining time
-# only.
-CALLERS_MAX = 4096
 
 
 class ReturnSchedule:
@@ -31,11 +24,9 @@
     def __init__(self) -> None:
         self._counts: dict[int, int] = {}
         self._current = 0
-        self._due_s: OrderedDict[str, float] = OrderedDict()
 
     def schedule(
         self,
-        request_id: str,
         remaining_s: float,
         rate_per_s: float,
         position: float | None,
@@ -70,17 +61,8 @@
         due_s = times_s[chosen]
         interval = int(due_s / INTERVAL_S)
         self._counts[interval] = self._counts.get(interval, 0) + 1
-        if request_id:
-            self._due_s[request_id] = due_s
-            self._due_s.move_to_end(request_id)
-            if len(self._due_s) > CALLERS_MAX:
-                self._due_s.popitem(last=False)
         return due_s - now_s
 
-    def is_early(self, request_id: str, now_s: float) -> bool:
-        """Return whether a request repeats a refused one before its scheduled time."""
-        return now_s < self._due_s.get(request_id, -math.inf) - EARLY_TOLERANCE_S
-
     def _discard_past(self, now_s: float) -> None:
         current = int(now_s / INTERVAL_S)
         if current != self._current:
--- a/berylchute/requesthandler.py
+++ b/berylchute/requesthandler.py
@@ -145,8 +145,6 @@
         )
         if identity is not None:
             active.apply_identity(identity)
-        if self._ranks.is_early(active.service, request.request_id):
-            active.is_return = False
         self._retry_budgets.of(active.service).record_request(self._clock.now_s())
         self._background_tasks.start_isolated(self._run_attempts, active)
 
