End the correction of reserves with the requests of the most urgent rank

Cause: the counts of a rank decay together, so its ratio of refusals stays as it was until they are forgotten. After the last urgent request, or one refused request at a host with few, less urgent ranks found servers full at 0.85 of the slots for five to seven seconds, with slots idle. Change: no correction if the most urgent rank has sent nothing within shortage_window_s. Result: the new test failed with a ratio of 0.869 3 s after the last urgent request, and passes.

--- a/berylchute/priorities/admission.py
+++ b/berylchute/priorities/admission.py
@@ -63,6 +63,7 @@
 
     demand: float = 0.0
     served: float = 0.0
+    last_request_s: float = -math.inf
 
     def decay(self, factor: float) -> None:
         self.demand *= factor
@@ -157,6 +158,7 @@
         ):
             counts.demand += 1.0
             counts.served += is_served
+            counts.last_request_s = now_s
 
     def record_selection(self, request: RequestClass, selection: Selection, now_s: float) -> None:
         """Count the first selection for a request; call it once for each request."""
@@ -212,7 +214,7 @@
             service.updated_at_s = now_s
             self._decay(service, elapsed_s)
             self._detect_shortage(service, now_s)
-            self._set_reserves(service, elapsed_s)
+            self._set_reserves(service, elapsed_s, now_s)
             self._report_change(name, service, now_s)
         return service
 
@@ -237,8 +239,8 @@
                 short >= parameters.enter_count and short >= parameters.enter_ratio * selections
             )
 
-    def _set_reserves(self, service: _Service, elapsed_s: float) -> None:
-        self._correct(service, elapsed_s)
+    def _set_reserves(self, service: _Service, elapsed_s: float, now_s: float) -> None:
+        self._correct(service, elapsed_s, now_s)
         released = elapsed_s / self._parameters.release_s
         depths = {}
         for rank in service.ranks:
@@ -254,13 +256,18 @@
         service.guaranteed_ranks = _keys_below(service.ranks, served_min)
         service.guaranteed = _keys_below(service.organisations, served_min)
 
-    def _correct(self, service: _Service, elapsed_s: float) -> None:
+    def _correct(self, service: _Service, elapsed_s: float, now_s: float) -> None:
         """Deepen the reserves while the most urgent rank is refused in spite of them."""
         parameters = self._parameters
         if not service.is_short or len(service.ranks) < 2:
             service.correction = 0.0
             return
-        refused = 1.0 - service.ranks[min(service.ranks)].served_ratio
+        urgent = service.ranks[min(service.ranks)]
+        if now_s - urgent.last_request_s > parameters.shortage_window_s:
+            # The ratio of refusals of a rank that sends nothing stays until its counts are gone.
+            service.correction = 0.0
+            return
+        refused = 1.0 - urgent.served_ratio
         change = parameters.correction_per_s * (refused - parameters.urgent_refused_ratio)
         correction = service.correction + elapsed_s * change
         service.correction = min(max(correction, 0.0), parameters.correction_max)
--- a/tests/test_priorities.py
+++ b/tests/test_priorities.py
@@ -236,6 +236,23 @@
     assert admission.full_ratio(LOW, end_s, rng, is_return=False) == parameters.floor_ratio
 
 
+@pytest.mark.parametrize(("per_s", "refused"), [(60, 120), (10, 1)])
+def test_correction_ends_with_the_requests_of_the_most_urgent_rank(
+    per_s: int, refused: int
+) -> None:
+    # Guard against slots that are left idle for seconds after the last urgent request, and after a
+    # single refused one at a host with few requests.
+    admission = RankAdmission()
+    for step in range(6 * per_s):
+        now_s = step / per_s
+        if 3 * per_s - refused <= step < 3 * per_s:
+            admission.record(URGENT, now_s, is_served=False, is_short=True)
+        admission.record(LOW, now_s, is_served=True, is_short=True)
+        if step == 3 * per_s + per_s // 2:
+            assert admission.ratios()["s"][2] < AdmissionParameters().floor_ratio
+    assert admission.ratios()["s"][2] >= AdmissionParameters().floor_ratio
+
+
 def test_enter_and_end_of_a_shortage_are_reported_once() -> None:
     # Guard against a flood of events from a service at the border of a shortage.
     changes: list[ReserveChange] = []
