Limit the reserve against an excess like all others

Cause: a reserve against requests beyond a fair share was half a depth below that of their rank without a limit, so that the ratio fell to 0.58, while the documented least one is 0.7. Change: its depth is at most that of a fully corrected reserve. Result: the new test failed with 0.584 and passes; tests/test_priorities.py passes.

--- a/berylchute/priorities/admission.py
+++ b/berylchute/priorities/admission.py
@@ -128,7 +128,8 @@
         elif key in service.excess and rng.random() < service.excess[key]:
             # Returns of its many refused callers would take the room of the other organisations.
             is_return = False
-            depth = max(1.0, depth + EXCESS_DEPTH)
+            depth_max = 1.0 + self._parameters.correction_max
+            depth = min(max(1.0, depth + EXCESS_DEPTH), depth_max)
         if not depth:
             return RETURN_FULL_LOAD_RATIO if is_return else FULL_LOAD_RATIO
         ratio = self._ratio(depth)
--- a/tests/test_priorities.py
+++ b/tests/test_priorities.py
@@ -253,6 +253,20 @@
     assert admission.ratios()["s"][2] >= AdmissionParameters().floor_ratio
 
 
+def test_reserve_against_an_excess_has_the_same_limit() -> None:
+    # Guard against ratios below the documented least one of 0.7.
+    admission, rng = RankAdmission(), Random(1)
+    hot, other = RequestClass("s", 2, "hot"), RequestClass("s", 2, "other")
+    for step in range(600):
+        now_s = step / 100
+        admission.record(URGENT, now_s, is_served=False, is_short=True)
+        for _ in range(4):
+            admission.record(hot, now_s, is_served=step % 2 == 0, is_short=True)
+        admission.record(other, now_s, is_served=True, is_short=True)
+    ratios = [admission.full_ratio(hot, 6.0, rng, is_return=False) for _ in range(50)]
+    assert min(ratios) == pytest.approx(0.7)
+
+
 def test_enter_and_end_of_a_shortage_are_reported_once() -> None:
     # Guard against a flood of events from a service at the border of a shortage.
     changes: list[ReserveChange] = []
