Keep scheduled returns in their range while servers pause

Cause: the whole width of the range was added to the time at which the first server accepts requests, so Retry-After reached 0.43 of the remaining time, and callers wait at most a third. Change: the range ends where it usually does, unless no time before its end is possible. Result: the new test failed with 0.738 s of 2 s (0.66 s is the limit), and passes.

--- a/berylchute/priorities/returnschedule.py
+++ b/berylchute/priorities/returnschedule.py
@@ -48,7 +48,11 @@
         if position is not None:
             start, end = CLOSED_PART * position, 1.0 - CLOSED_PART * (1.0 - position)
         start_s = max(earliest_s, first * remaining_s + start * width_s)
-        step_s = (end - start) * width_s / TIMES_CONSIDERED
+        end_s = first * remaining_s + end * width_s
+        if start_s >= end_s:
+            # No time in the range is possible: the returns are spread as widely after it.
+            end_s = start_s + (end - start) * width_s
+        step_s = (end_s - start_s) / TIMES_CONSIDERED
         times_s = [
             now_s + start_s + step_s * (number + rng.random()) for number in range(TIMES_CONSIDERED)
         ]
--- a/tests/test_priorities.py
+++ b/tests/test_priorities.py
@@ -334,3 +334,11 @@
     # Guard against callers that return before any server accepts requests.
     delay_s = ReturnSchedule().schedule(2.0, 10.0, 0.0, 0.0, Random(1), earliest_s=1.5)
     assert delay_s >= 1.5
+
+
+def test_returns_wait_no_longer_than_callers_do() -> None:
+    # Guard against callers that don't return because servers pause for a part of their range.
+    schedule, rng = ReturnSchedule(), Random(1)
+    for _ in range(100):
+        delay_s = schedule.schedule(2.0, 10.0, None, 0.0, rng, earliest_s=0.5)
+        assert 0.5 <= delay_s <= 2.0 * DELAY_RATIO_RANGE[1]
