Count only the scheduled returns of the next 30 s

Cause: each refused request with a deadline of its own far in the future left a count until that time: 55,000 such requests left as many, copied in each interval of 50 ms (7.6 ms each time). Callers choose their deadlines, so an untrusted one can fill the memory. Change: returns later than 30 s from now are not counted. Result: the new test failed with 5,000 counts after 5,000 requests, and passes.

--- a/berylchute/priorities/returnschedule.py
+++ b/berylchute/priorities/returnschedule.py
@@ -11,6 +11,9 @@
 
 # Returns are counted by intervals of this length.
 INTERVAL_S = 0.05
+# Later returns than this from now are not counted, since callers choose their deadlines: distinct
+# ones of years would fill the memory.
+COUNTED_S = 30.0
 # Times that are considered for one return, evenly in its range.
 TIMES_CONSIDERED = 6
 # Part of the range of delays that is closed to a rank at its end of the range: the latest times to
@@ -63,8 +66,9 @@
             min(range(TIMES_CONSIDERED), key=lambda index: counts[index]),
         )
         due_s = times_s[chosen]
-        interval = int(due_s / INTERVAL_S)
-        self._counts[interval] = self._counts.get(interval, 0) + 1
+        if due_s < now_s + COUNTED_S:
+            interval = int(due_s / INTERVAL_S)
+            self._counts[interval] = self._counts.get(interval, 0) + 1
         return due_s - now_s
 
     def _discard_past(self, now_s: float) -> None:
--- a/tests/test_priorities.py
+++ b/tests/test_priorities.py
@@ -342,3 +342,12 @@
     for _ in range(100):
         delay_s = schedule.schedule(2.0, 10.0, None, 0.0, rng, earliest_s=0.5)
         assert 0.5 <= delay_s <= 2.0 * DELAY_RATIO_RANGE[1]
+
+
+def test_returns_in_the_far_future_take_no_memory() -> None:
+    # Guard against counts that grow with deadlines of years, which untrusted callers can send.
+    schedule, rng = ReturnSchedule(), Random(1)
+    for number in range(5000):
+        delay_s = schedule.schedule(3600.0 + number, 10.0, None, 0.0, rng)
+        assert delay_s >= (3600.0 + number) * DELAY_RATIO_RANGE[0]
+    assert len(schedule._counts) < 1000
