Ignore deadlines of callers that are not finite

Cause: float() accepts inf and nan. A refused request with such a deadline got Retry-After: inf, and with admission by rank an OverflowError, logged with its traceback for each request. It also made all other callers of the route count as returning for up to 20 s. Change: a deadline that is not a finite number is ignored, like one that is no number. Result: four of the five new cases failed, and all pass.

--- a/berylchute/requestbuilding.py
+++ b/berylchute/requestbuilding.py
@@ -1,5 +1,7 @@
 """Build a caller's request from its parsed parts."""
 
+import math
+
 from berylchute.callermessages import CONNECTION_HEADERS, CallerRequest, Header
 from berylchute.headernames import HeaderNames
 
@@ -44,9 +46,10 @@
 
 def _parse_ms(value: bytes) -> float | None:
     try:
-        return max(0.0, float(value))
+        time_ms = float(value)
     except ValueError:
         return None
+    return max(0.0, time_ms) if math.isfinite(time_ms) else None
 
 
 def _find_cookie(value: bytes, name: bytes) -> str:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -52,6 +52,14 @@
     assert not {b"Connection", b"Content-Length", b"Berylchute-Deadline-Ms"} & set(names)
 
 
+@pytest.mark.parametrize("value", ["inf", "-inf", "nan", "1e999", "soon"])
+def test_deadline_that_is_no_number_is_ignored(value: str) -> None:
+    """Guard against `Retry-After: inf`, and refusals that raise an error."""
+    caller = _Caller()
+    caller.send(_get("/p/", f"Berylchute-Deadline-Ms: {value}\r\n"))
+    assert caller.requests[0].request.time_left_ms is None
+
+
 def test_chunked_body_is_complete_before_the_handler_runs() -> None:
     """Guard against truncated bodies when chunks arrive in several reads."""
     caller = _Caller()
