Don't take refusals beside free slots for a shortage

Cause: a reserve with a ratio below 1.0 refuses requests while servers have free slots, and these refusals counted as selections without room. Change: a selection tells whether a full server has a free slot; then it shows no shortage.

--- a/berylchute/priorities/admission.py
+++ b/berylchute/priorities/admission.py
@@ -162,9 +162,13 @@
             counts.last_request_s = now_s
 
     def record_selection(self, request: RequestClass, selection: Selection, now_s: float) -> None:
-        """Count the first selection for a request; call it once for each request."""
+        """Count the first selection for a request; call it once for each request.
+
+        A request that only a reserve kept from a free slot shows no shortage: otherwise, a deep
+        reserve would prolong the shortage that it answers.
+        """
         server = selection.server
-        is_short = selection.no_server_reason in _NO_ROOM
+        is_short = selection.no_server_reason in _NO_ROOM and not selection.has_free_slot
         if server is not None:
             is_short = selection.load >= server.entry.slots
         self.record(request, now_s, is_served=server is not None, is_short=is_short)
--- a/berylchute/selection.py
+++ b/berylchute/selection.py
@@ -51,6 +51,7 @@
     of servers that were examined before. `report_age_s` is infinite if the
     server has not reported its load. `skip_reason` is None if the server is the first of the key.
     `retry_after_s` is the time until the first of the servers accepts requests, if all pause.
+    `has_free_slot` means that a server was full only by a ratio below 1.
     """
 
     server: Server | None
@@ -60,6 +61,7 @@
     rank: int = 0
     skip_reason: SkipReason | None = None
     retry_after_s: float = 0.0
+    has_free_slot: bool = False
 
 
 class Selector:
@@ -133,7 +135,12 @@
                 is_disrupted=is_disrupted,
             )
         if is_prevented:
-            return Selection(None, NoServerReason.SPILL_LIMITED, selection.load)
+            return Selection(
+                None,
+                NoServerReason.SPILL_LIMITED,
+                selection.load,
+                has_free_slot=selection.has_free_slot,
+            )
         return selection
 
     def _select_examined(
@@ -149,6 +156,7 @@
         considered = limited_count = 0
         pause_s = math.inf
         least_load = math.inf
+        has_free_slot = False
         late_selection: Selection | None = None
         skip_reason: SkipReason | None = None
         for rank, (server, unusable_reason) in enumerate(examined):
@@ -183,6 +191,7 @@
                 if late_selection is None or load < SUBSTITUTE_LOAD_RATIO * server.entry.slots:
                     return selection
             least_load = min(least_load, load)
+            has_free_slot = has_free_slot or load < server.entry.slots
             skip_reason = skip_reason or SkipReason.FULL
         if late_selection is not None:
             return late_selection
@@ -192,7 +201,7 @@
             return Selection(None, NoServerReason.PAUSED, retry_after_s=pause_s)
         if considered == 0:
             return Selection(None, NoServerReason.NO_SERVER)
-        return Selection(None, NoServerReason.ALL_FULL, least_load)
+        return Selection(None, NoServerReason.ALL_FULL, least_load, has_free_slot=has_free_slot)
 
     def _is_spilled(self, preference: Preference, server: Server | None) -> bool | None:
         return None if server is None else self._backends.region_of(server) != preference.region
--- a/tests/test_priorities.py
+++ b/tests/test_priorities.py
@@ -16,7 +16,12 @@
     fair_level,
 )
 from berylchute.retryafter import DELAY_RATIO_RANGE
-from berylchute.selection import FULL_LOAD_RATIO, RETURN_FULL_LOAD_RATIO
+from berylchute.selection import (
+    FULL_LOAD_RATIO,
+    RETURN_FULL_LOAD_RATIO,
+    NoServerReason,
+    Selection,
+)
 from tests.slotfleet import SLOTS, Kind, SlotFleet
 
 SEEDS = (1, 2, 3)
@@ -267,6 +272,21 @@
     assert min(ratios) == pytest.approx(0.7)
 
 
+def test_refusals_beside_free_slots_do_not_prolong_a_shortage() -> None:
+    # Guard against a deep reserve that outlasts the shortage, since its own refusals look like one.
+    admission = RankAdmission()
+    end_s = _overload(admission, 3.0, URGENT, LOW, refused_rank=0)
+    refused = Selection(None, NoServerReason.ALL_FULL, 7.0, has_free_slot=True)
+    for step in range(1, 201):
+        admission.record_selection(LOW, refused, end_s + step / 100)
+    assert admission.ratios()["s"][2] == FULL_LOAD_RATIO
+    full = Selection(None, NoServerReason.ALL_FULL, 12.0)
+    for step in range(1, 101):
+        admission.record_selection(URGENT, full, end_s + 2.0 + step / 100)
+        admission.record_selection(LOW, full, end_s + 2.0 + step / 100)
+    assert admission.ratios()["s"][2] < FULL_LOAD_RATIO
+
+
 def test_enter_and_end_of_a_shortage_are_reported_once() -> None:
     # Guard against a flood of events from a service at the border of a shortage.
     changes: list[ReserveChange] = []
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -135,6 +135,20 @@
     assert harness.select(is_return=True).no_server_reason is NoServerReason.ALL_FULL
 
 
+@pytest.mark.parametrize(("full_ratio", "has_free_slot"), [(0.7, True), (1.0, False)])
+def test_refusal_tells_whether_a_slot_was_free(full_ratio: float, has_free_slot: bool) -> None:
+    # Guard against a reserve whose refusals can't be told from those for want of room.
+    harness = _Harness("i-1", "i-2")
+    for server in harness.order:
+        server.in_flight = math.ceil(full_ratio * server.entry.slots)
+    now_s = harness.clock.now
+    refused = harness.selector.select(
+        "s", "k", 0.3, False, lambda _: True, [], now_s, full_ratio=full_ratio
+    )
+    assert refused.no_server_reason is NoServerReason.ALL_FULL
+    assert refused.has_free_slot is has_free_slot
+
+
 def test_request_that_limits_keep_out_is_refused_at_once_unless_a_server_is_idle() -> None:
     # Guard against requests that move from limited servers to all others and slow them down, and
     # against refusals while other servers have nothing to do.
