Open no spare connections at the limit of the process

A process that has all its connections to servers closes an idle one for each new one. Spare connections, which no request waits for, did so too and closed those of other servers, which then needed a spare in their turn.

should_open_spare is false while the process has all its connections. The new test, the first of this limit, failed where a spare was still wanted; the other checks in it passed before.

--- a/berylchute/backends.py
+++ b/berylchute/backends.py
@@ -246,6 +246,7 @@
             connect_s > SPARE_CONNECT_RATIO * goal_s
             and not server.failures
             and member_count() * SPARE_CONNECTIONS_PER_MEMBER <= connections_max
+            and not self._is_full()
         )
 
     def unconnected_servers(self) -> Sequence[Server]:
@@ -307,13 +308,17 @@
         work_time = self._work_times.setdefault(entry.service, WorkTime())
         return Server(entry, pool, work_time=work_time)
 
+    def _is_full(self) -> bool:
+        """Return whether the process has all the connections to servers that it may have."""
+        return self._connections_max is not None and self._connections_max <= sum(
+            server.pool.open_count for server in self._servers.values()
+        )
+
     def _has_room(self) -> bool:
         """Return whether another connection may be opened, maybe in place of an idle one."""
-        if self._connections_max is None:
+        if not self._is_full():
             return True
         pools = [server.pool for server in self._servers.values()]
-        if sum(pool.open_count for pool in pools) < self._connections_max:
-            return True
         largest = max(pools, key=lambda pool: pool.idle_count)
         if not largest.idle_count:
             return False
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -1,8 +1,11 @@
 """Check the state of backend servers: load, failures, cold times, and which may get requests."""
 
+import asyncio
+
 import pytest
 
 from berylchute.backends import SPARE_CONNECT_RATIO, SPARE_CONNECTIONS_PER_MEMBER, Backends
+from berylchute.exceptions import NoConnectionLeft
 from berylchute.servers import (
     FAILURE_BACKOFF_MAX_S,
     FAILURE_BACKOFF_S,
@@ -17,6 +20,7 @@
     ServerList,
     ServicePolicy,
 )
+from berylchute.upstream import UpstreamRequest
 from tests.httpfakes import ManualClock
 from tests.test_routeindex import route
 
@@ -291,3 +295,49 @@
     assert not backends.may_receive(backends.of_service("s")[0])
     backends.update_servers(ServerList((entry("i-1", started_ms=6),)))
     assert backends.may_receive(backends.of_service("s")[0])
+
+
+def test_connections_of_all_servers_stay_within_the_limit_of_the_process() -> None:
+    # Guard against more connections than descriptors, requests that find no connection while idle
+    # ones are kept, and spare connections that displace those of other servers, in turns.
+    async def main() -> None:
+        answers = asyncio.Event()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            await answers.wait()
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            await reader.read()
+            writer.close()
+
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+        backends = Backends(ManualClock(), connections_max=2)
+        policy = ServicePolicy("s", 390, warmup_s=3.0, cold_rate_per_s=10.0)
+        table = RouteTable(1, (route("/a/", goal_s=0.3),), (policy,), CallerLimits())
+        backends.configure(table)
+        backends.update_servers(ServerList(tuple(entry(n, address=address) for n in "abc")))
+        first, second, third = backends.preference("s", "k").near
+        request = UpstreamRequest(b"", b"", False, b"GET / HTTP/1.1\r\n\r\n")
+        sends = [asyncio.create_task(s.pool.exchange(request)) for s in (first, second)]
+        while first.pool.open_count + second.pool.open_count < 2:
+            await asyncio.sleep(0)
+        with pytest.raises(NoConnectionLeft):
+            await third.pool.exchange(request)
+        answers.set()
+        await asyncio.gather(*sends)
+        for server in (first, second):
+            server.pool.last_connect_s = 1.0
+        backends.update_connect_times()
+        assert first.pool.needs_spare_connection
+        assert not backends.should_open_spare(first, lambda: 1)
+        await third.pool.exchange(request)
+        assert first.pool.open_count + second.pool.open_count == 1
+        third.pool.close_idle_one()
+        assert backends.should_open_spare(first, lambda: 1)
+        for server in (first, second, third):
+            server.pool.close()
+        listener.close()
+        await asyncio.sleep(0.01)
+
+    asyncio.run(main())
