Reset the connections of crashed servers in the soak

An aborted transport ends the connection in order if nothing is unread, and such an end completes a body without a length. Change: stand-ins and proxies close with a linger time of 0, so that the kernel resets. Result: the new test fails without the option and passes with it; the check of answers is unchanged.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,15 +1,32 @@
 """TCP proxy on loopback that can delay, reset or drop the traffic it forwards."""
 
 import asyncio
+import socket
+import struct
 from enum import StrEnum
 
 import attrs
 
 from soak.faults import OverlappingFaults
 
-__all__ = ["LinkFault", "Proxy"]
+__all__ = ["LinkFault", "Proxy", "reset_connection"]
 
 CHUNK_BYTES = 65_536
+# Linger on, for 0 s: the kernel resets the connection when it is closed.
+_RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+
+
+def reset_connection(transport: asyncio.BaseTransport) -> None:
+    """Reset a connection.
+
+    An aborted transport ends its connection in order if nothing is unread, so that a body without
+    a length that it cuts looks complete.
+    """
+    connection = transport.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE)
+    assert isinstance(transport, asyncio.WriteTransport)
+    transport.abort()
 
 
 class LinkFault(StrEnum):
@@ -42,7 +59,7 @@
     def reset_all(self) -> None:
         """Abort both sides of all open connections; new ones are still accepted."""
         for writer in list(self._writers):
-            writer.transport.abort()
+            reset_connection(writer.transport)
 
     def close(self) -> None:
         """Stop listening and abort all open connections."""
@@ -56,7 +73,7 @@
                 "127.0.0.1", self.target_port
             )
         except OSError:
-            writer.transport.abort()
+            reset_connection(writer.transport)
             return
         stream_writers = (writer, upstream_writer)
         self._writers.update(stream_writers)
@@ -69,7 +86,7 @@
             # CancelledError is not raised again: asyncio streams log an error for a connection's
             # task that is cancelled when the event loop shuts down.
             for stream_writer in stream_writers:
-                stream_writer.transport.abort()
+                reset_connection(stream_writer.transport)
         finally:
             self._writers.difference_update(stream_writers)
             for stream_writer in stream_writers:
--- a/soak/standins.py
+++ b/soak/standins.py
@@ -13,6 +13,7 @@
 from berylchute.node import MonotonicClock
 from soak import wire
 from soak.faults import OverlappingFaults
+from soak.proxy import reset_connection
 from soak.records import Records, Run
 
 __all__ = ["ServerStandIn", "StoreStandIn", "expected_body"]
@@ -190,7 +191,7 @@
         assert self._http is not None
         self._http.stop_listening()
         for connection in list(self._http.connections):
-            connection.transport.abort()
+            reset_connection(connection.transport)
         for task in list(self._tasks):
             task.cancel()
 
@@ -277,11 +278,11 @@
         if "spoil" not in self.faults:
             pending.respond(CallerAnswer(200, headers, body))
         elif draw < ABORT_RATIO:
-            pending.connection.transport.abort()
+            reset_connection(pending.connection.transport)
         elif draw < ABORT_RATIO + MALFORMED_RATIO:
             # A truncated response: Content-Length is larger than the body.
             pending.connection.transport.write(_encode_response(headers, body, len(body) + 9))
-            pending.connection.transport.abort()
+            reset_connection(pending.connection.transport)
         elif draw < ABORT_RATIO + MALFORMED_RATIO + ENDLESS_RATIO:
             self._start_task(self._write_without_end(pending, headers))
         else:
--- a/tests/test_soak_world.py
+++ b/tests/test_soak_world.py
@@ -5,11 +5,41 @@
 
 import pytest
 
+from lab.processes import free_ports
 from soak.faults import OverlappingFaults
+from soak.proxy import Proxy, reset_connection
 from soak.standins import StoreStandIn
 from soak.world import SoakWorld
 
 
+def test_reset_of_a_server_reaches_the_client_as_a_reset() -> None:
+    """Guard against a crash that looks like the end of a body without a length.
+
+    The edge delivers such a body as complete, and the soak reported a wrong answer (seed 4023).
+    """
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readexactly(1)
+        writer.write(b"x" * 100)
+        await asyncio.sleep(0.1)
+        reset_connection(writer.transport)
+
+    async def main() -> None:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        (proxy_port,) = free_ports(1)
+        proxy = Proxy(proxy_port, server.sockets[0].getsockname()[1])
+        await proxy.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", proxy_port)
+        writer.write(b"?")
+        with pytest.raises(ConnectionResetError):
+            await reader.read(-1)
+        writer.close()
+        proxy.close()
+        server.close()
+
+    asyncio.run(main())
+
+
 class _FakeProcess:
     returncode = None
 
