--- a/soak/records.py
+++ b/soak/records.py
@@ -57,7 +57,7 @@
 class Run:
     """The start of a request's execution by a server, at `at_s` of the monotonic clock.
 
-    `organisation` is the one that the server was told; `has_api_key` is true if it got a key.
+    `organisation` is the name that the server received; `has_api_key` is true if it got a key.
     """
 
     request_id: str
--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -107,7 +107,7 @@
 
 
 def test_public_route_names_the_organisation_of_a_valid_key() -> None:
-    # Guard against a server of a public route that isn't told who its caller is.
+    # Guard against a server of a public route that does not get the name of its caller.
     identity = _identify((b"Authorization", b"Bearer k3"), is_public=True)
     assert isinstance(identity, Identity) and identity.organisation is not None
     assert identity.headers == [(b"Berylchute-Organisation", b"two")]
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -137,7 +137,7 @@
 
 @pytest.mark.parametrize(("full_ratio", "has_free_slot"), [(0.7, True), (1.0, False)])
 def test_refusal_tells_whether_a_slot_was_free(full_ratio: float, has_free_slot: bool) -> None:
-    # Guard against a reserve whose refusals can't be told from those for want of room.
+    # Guard against a reserve whose refusals look like those for lack of room.
     harness = _Harness("i-1", "i-2")
     for server in harness.order:
         server.in_flight = math.ceil(full_ratio * server.entry.slots)
