--- a/review/lib-2/kit.py
+++ b/review/lib-2/kit.py
@@ -539,6 +539,67 @@
             return
 
 
+def encode_request(method, target, request_id, deadline_ms, key):
+    """Encode a request without a body, for clients that send several behind each other."""
+    lines = [f"{method} {target} HTTP/1.1", f"Host: {HOST}", f"Request-Id: {request_id}"]
+    lines += [f"Cookie: Affinity-Key={key}", f"Deadline-Ms: {deadline_ms}"]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+async def read_paced(address, data, answers, bytes_per_s, timeout_s):
+    """Send several requests at once, and read their answers in order at a pace."""
+    host, _, port = address.rpartition(":")
+    connection = socket.socket()
+    connection.setblocking(False)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    loop = asyncio.get_running_loop()
+    received = b""
+    began = None
+    read_bytes = 0
+    current = 0
+    try:
+        await loop.sock_connect(connection, (host, int(port)))
+        for answer in answers:
+            answer.sent_at = now()
+        await loop.sock_sendall(connection, data)
+        async with asyncio.timeout(timeout_s):
+            while current < len(answers):
+                if began is not None:
+                    wait_s = began + read_bytes / bytes_per_s - time.monotonic()
+                    await asyncio.sleep(max(0.0, wait_s))
+                part = await loop.sock_recv(connection, 2_048)
+                began = began or time.monotonic()
+                read_bytes += len(part)
+                received += part
+                while current < len(answers):
+                    answer = answers[current]
+                    if not answer.status and b"\r\n\r\n" in received:
+                        head, _, received = received.partition(b"\r\n\r\n")
+                        first, *lines = head.decode("latin-1").split("\r\n")
+                        answer.status = int(first.split(" ")[1])
+                        for line in lines:
+                            name, _, value = line.partition(":")
+                            answer.headers[name.strip().lower()] = value.strip()
+                    length = int(answer.headers.get("content-length", "0"))
+                    answer.body = received[:length]
+                    if not answer.status or len(received) < length:
+                        break
+                    answer.is_whole, answer.ended_at = True, now()
+                    received = received[length:]
+                    current += 1
+                if not part:
+                    break
+    except TimeoutError:
+        answers[current].error = "time budget of the client"
+    except OSError as error:
+        answers[current].error = repr(error)
+    finally:
+        connection.close()
+    for answer in answers[current:]:
+        answer.ended_at = now()
+        answer.error = answer.error or "connection ended"
+
+
 def make_manifest(version, routes, services, **limits):
     """Return a manifest; `routes` and `services` are lists of their own fields."""
     return {
