stop: refuse requests that may outlast the process, whatever the grace time

Cause: any request was sent until half of the grace time, whatever its deadline, and listening ended after a constant 3.5 s; both fitted a grace time of 6 s only.

Change: stoptimes plans all times of a stop from the grace time and the directory's TTL. From the signal on, a request is sent only if its deadline is not after the end of the stop; else it is refused as not run, with a Retry-After of 0.05 s. So nothing that is accepted can be broken off. Related paths: the times before connections close and for the exit were constants as well, a grace time that changes with or just before the signal was ignored, and a body that had not arrived at the end got no answer.

--- a/berylchute/callers.py
+++ b/berylchute/callers.py
@@ -89,6 +89,11 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse requests that are partly received as not run, and close idle connections."""
+        for connection in list(self.connections):
+            connection.give_up()
+
     async def close_timed_out_forever(self) -> None:
         """Close connections that exceed a caller timeout, until cancelled."""
         while True:
--- a/berylchute/directory.py
+++ b/berylchute/directory.py
@@ -5,8 +5,15 @@
 from berylchute.messages import MemberRecord
 from berylchute.types import MemberState, MemberStatus
 
-__all__ = ["CAPACITY_RATIO_MIN", "Directory", "select_high_capacity"]
+__all__ = [
+    "CAPACITY_RATIO_MIN",
+    "DIRECTORY_TTL_DEFAULT_S",
+    "Directory",
+    "select_high_capacity",
+]
 
+# Short, since members stop at any time.
+DIRECTORY_TTL_DEFAULT_S = 2.0
 # Addresses returned to a caller, so that one of them may fail. If the caller's zone has fewer
 # members, those of its region are added.
 ADDRESSES_MIN = 2
@@ -16,9 +23,10 @@
 
 
 class Directory:
-    """The members that accept callers, by zone and region."""
+    """The members that accept callers, by zone and region; callers hold answers for `ttl_s`."""
 
-    def __init__(self) -> None:
+    def __init__(self, ttl_s: float = DIRECTORY_TTL_DEFAULT_S) -> None:
+        self.ttl_s = ttl_s
         self._members: Sequence[MemberStatus] = ()
         self._by_zone: dict[str, list[MemberRecord]] = {}
         self._by_region: dict[str, list[MemberRecord]] = {}
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -102,7 +102,7 @@
             self._body_memory,
             self._guard.bounds.servers_max,
         )
-        self._directory = Directory()
+        self._directory = Directory(settings.directory_ttl_s)
         self._discovery = MemberDiscovery(self._clock, settings.zone_regions)
         self._cold_sender_selector = ColdSenderSelector(host, self._discovery)
         self._server_limits = ServerLimits(host, self._backends, self._clock, self._discovery)
@@ -278,6 +278,7 @@
                     self._clock,
                     self._log,
                     self._settings.grace_s,
+                    self._directory.ttl_s,
                 )
             signals.detach()
             tasks.cancel_scope.cancel()
@@ -306,9 +307,12 @@
         self, signals: ProcessSignals, start_scope: anyio.CancelScope
     ) -> None:
         """Reload the settings on request, until a stop is requested; it also ends a start."""
-        while not signals.is_stop_requested:
-            if signals.take_reload():
+        while True:
+            # The grace time may have changed, at times without a signal.
+            if signals.take_reload() or signals.is_stop_requested:
                 self._reload()
+            if signals.is_stop_requested:
+                break
             await self._signalled.wait()
             self._signalled = anyio.Event()
         start_scope.cancel()
--- a/berylchute/edgesettings.py
+++ b/berylchute/edgesettings.py
@@ -5,6 +5,7 @@
 import attrs
 
 from berylchute.callerlimits import MAX_FDS_DEFAULT, RequestLimits
+from berylchute.directory import DIRECTORY_TTL_DEFAULT_S
 from berylchute.headernames import HeaderNames
 from berylchute.retrybudget import RetryBounds
 from berylchute.settings import Settings
@@ -18,7 +19,8 @@
     """All settings of the edge program.
 
     `zone_regions` maps availability zones to regions. `grace_s` is the time from the stop signal
-    to the kill, `change_apply_s` the time from the store's acknowledgement of a change until all
+    to the kill, `directory_ttl_s` the time for which callers hold an answer of the directory,
+    `change_apply_s` the time from the store's acknowledgement of a change until all
     members must follow it. `is_first_start` is set while all hosts start for the first time, before
     there are callers. `admission_by_rank` lets the rank of requests decide which are served
     while servers are short of room. `metrics_address` is `ip:port`; metrics are not served if it is
@@ -36,3 +38,4 @@
     admission_by_rank: bool = False
     request_limits: RequestLimits = RequestLimits()
     max_fds: int = MAX_FDS_DEFAULT
+    directory_ttl_s: float = DIRECTORY_TTL_DEFAULT_S
--- a/berylchute/requestends.py
+++ b/berylchute/requestends.py
@@ -12,7 +12,12 @@
 from berylchute.eventlog import EventLog
 from berylchute.headernames import HeaderNames
 from berylchute.priorities import Ranks
-from berylchute.retryafter import STARTING_RETRY_AFTER_S, choose_delay_s, make_retry_after
+from berylchute.retryafter import (
+    STARTING_RETRY_AFTER_S,
+    STOPPING_RETRY_AFTER_S,
+    choose_delay_s,
+    make_retry_after,
+)
 from berylchute.retrybudgets import RetryBudgets
 from berylchute.routeindex import RouteIndex
 from berylchute.selection import Selection
@@ -66,6 +71,15 @@
         headers = (make_retry_after(STARTING_RETRY_AFTER_S),)
         self.end(pending, None, Outcome.STARTING, CallerAnswer(503, headers))
 
+    def refuse_stopping(self, active: ActiveRequest) -> None:
+        """End a request that may outlast this process, as not run unless it may have run."""
+        active.reason = active.reason or "stopping"
+        if active.may_have_run or active.failed_answer is not None:
+            self.end_unanswered(active)
+            return
+        headers = (make_retry_after(STOPPING_RETRY_AFTER_S),)
+        self.end(active.pending, active, Outcome.REFUSED, CallerAnswer(503, headers))
+
     def refuse_unauthorized(
         self, pending: PendingRequest, active: ActiveRequest | None, reason: str
     ) -> None:
--- a/berylchute/requesthandler.py
+++ b/berylchute/requesthandler.py
@@ -207,9 +207,8 @@
     async def _send_attempt(self, active: ActiveRequest) -> bool:
         """Send the request to one server; return whether the request has ended."""
         now_s = self._clock.now_s()
-        if not self.stop_times.leave_time_for(active.deadline_s, now_s):
-            active.reason = active.reason or "stopping"
-            self._ends.end_unanswered(active)
+        if not self.stop_times.leave_time_for(active.deadline_s):
+            self._ends.refuse_stopping(active)
             return True
         selection = self._select_server(active, now_s)
         server = selection.server
--- a/berylchute/retryafter.py
+++ b/berylchute/retryafter.py
@@ -4,10 +4,17 @@
 
 from berylchute.callers import Header
 
-__all__ = ["STARTING_RETRY_AFTER_S", "choose_delay_s", "make_retry_after"]
+__all__ = [
+    "STARTING_RETRY_AFTER_S",
+    "STOPPING_RETRY_AFTER_S",
+    "choose_delay_s",
+    "make_retry_after",
+]
 
 # Retry-After while no configuration is known: a few round trips to a store across a continent.
 STARTING_RETRY_AFTER_S = 0.3
+# Retry-After of a stopping host: the others have room for its callers at once.
+STOPPING_RETRY_AFTER_S = 0.05
 # Range of the delay as a ratio of the caller's remaining time. Callers wait at most a third of it,
 # and shorter delays bring no gain (docs/MEASUREMENTS.md).
 DELAY_RATIO_RANGE = (0.2, 0.33)
--- a/tests/edgeprocess.py
+++ b/tests/edgeprocess.py
@@ -34,18 +34,12 @@
     max_fds: int | None = None
     startup_code: str = ""
     store: StoreStandIn | None = None
+    grace_s: float = GRACE_S
     process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
         """Start the process; its output goes to `log`."""
-        settings = self.folder / "settings.conf"
-        text = wire.settings_text(
-            "edge-1", "za", self.addresses, [], self.store_address, grace_s=GRACE_S
-        )
-        text += f"limits.memory-mb={self.memory_mb:g}\n"
-        if self.max_fds is not None:
-            text += f"limits.max-fds={self.max_fds}\n"
-        settings.write_text(text)
+        settings = self.write_settings()
         (self.folder / "sitecustomize.py").write_text(self.startup_code)
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -60,6 +54,18 @@
                 },
             )
 
+    def write_settings(self) -> Path:
+        """Write the settings file anew and return its path."""
+        settings = self.folder / "settings.conf"
+        text = wire.settings_text(
+            "edge-1", "za", self.addresses, [], self.store_address, grace_s=self.grace_s
+        )
+        text += f"limits.memory-mb={self.memory_mb:g}\n"
+        if self.max_fds is not None:
+            text += f"limits.max-fds={self.max_fds}\n"
+        settings.write_text(text)
+        return settings
+
     async def configure(
         self, number: int, keys: Mapping[str, Sequence[str]], **changes: object
     ) -> None:
