objects: let the platform's own limit decide which objects are valid

Cause: ObjectReplica rejected values above a constant of 1,000,000 bytes without a log line. The platform's limit is 1,048,576, and the members' own encoding is longer than what the operator writes: 1.1 times for the case, 2.2 to 11.2 times for configurations of one shape.

Change: objects and messages between members may have 12 times platform.value-bytes. What is longer is logged once with key, version, size and bound, and not pulled again.

--- a/berylchute/bodymemory.py
+++ b/berylchute/bodymemory.py
@@ -16,7 +16,7 @@
     choose_dropped,
 )
 
-__all__ = ["SMALL_BYTES", "BodyHolder", "BodyMemory", "BodyStage"]
+__all__ = ["SMALL_BYTES", "BodyHolder", "BodyMemory", "BodyStage", "memory_for_answer_mb"]
 
 # Ratio of a host's memory for the account. The interpreter, its libraries and caches take a
 # quarter, and the allocator does not return all that is released.
@@ -29,6 +29,11 @@
 SMALL_RATIO = 0.1
 
 
+def memory_for_answer_mb(answer_bytes: int) -> float:
+    """Return the memory of which the account accepts single answers of this size."""
+    return answer_bytes / (1_000_000 * MEMORY_RATIO * ANSWER_RATIO)
+
+
 class BodyHolder(Protocol):
     """A connection or request that holds bytes in memory."""
 
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -43,7 +43,7 @@
 from berylchute.selection import Selector
 from berylchute.serverlimits import ServerLimits
 from berylchute.servers import Server
-from berylchute.sharedobjects import SHARED_KEYS
+from berylchute.sharedobjects import SHARED_KEYS, encoded_bytes_max
 from berylchute.spillshare import SpillLimiter
 from berylchute.storecontact import StoreContact, StoreProbe
 from berylchute.types import StoredObject
@@ -86,6 +86,7 @@
             object_keys=SHARED_KEYS,
             timing=MEMBER_TIMING,
             store_contact=self._store_contact,
+            object_bytes_max=encoded_bytes_max(settings.store_value_bytes_max),
         )
         self._routes = RouteIndex()
         self._body_memory = BodyMemory(settings.node.host.memory_mb)
@@ -259,7 +260,7 @@
         loop = asyncio.get_running_loop()
         async with anyio.create_task_group() as tasks, self._background_tasks as background_tasks:
             background_tasks.start_lasting(self._log.flush_forever)
-            signals.attach(lambda: self._notify_signalled(loop))
+            signals.attach(lambda: loop.call_soon_threadsafe(lambda: self._signalled.set()))
             start_scope = anyio.CancelScope()
             tasks.start_soon(self._follow_signals, signals, start_scope)
             listen_error: BaseException | None = None
@@ -287,9 +288,6 @@
         if listen_error is not None:
             raise first_error(listen_error)
 
-    def _notify_signalled(self, loop: asyncio.AbstractEventLoop) -> None:
-        loop.call_soon_threadsafe(lambda: self._signalled.set())
-
     async def _start(self, tasks: TaskGroup, background_tasks: BackgroundTasks) -> None:
         await tasks.start(self._node.run)
         for feed in self._feeds:
--- a/berylchute/edgesettings.py
+++ b/berylchute/edgesettings.py
@@ -7,6 +7,7 @@
 from berylchute.callerlimits import MAX_FDS_DEFAULT, RequestLimits
 from berylchute.directory import DIRECTORY_TTL_DEFAULT_S
 from berylchute.headernames import HeaderNames
+from berylchute.objects import STORE_VALUE_BYTES_MAX
 from berylchute.retrybudget import RetryBounds
 from berylchute.settings import Settings
 from berylchute.storecontact import CHANGE_APPLY_DEFAULT_S
@@ -24,7 +25,8 @@
     members must follow it. `is_first_start` is set while all hosts start for the first time, before
     there are callers. `admission_by_rank` lets the rank of requests decide which are served
     while servers are short of room. `metrics_address` is `ip:port`; metrics are not served if it is
-    empty. `max_fds` is the number of descriptors that the process may have open, with files.
+    empty. `max_fds` is the number of descriptors that the process may have open, with files,
+    `store_value_bytes_max` the size of the largest object that the store accepts.
     """
 
     node: Settings
@@ -39,3 +41,4 @@
     request_limits: RequestLimits = RequestLimits()
     max_fds: int = MAX_FDS_DEFAULT
     directory_ttl_s: float = DIRECTORY_TTL_DEFAULT_S
+    store_value_bytes_max: int = STORE_VALUE_BYTES_MAX
--- a/berylchute/exceptions.py
+++ b/berylchute/exceptions.py
@@ -6,6 +6,7 @@
     "AnswerDropped",
     "AnswerInvalid",
     "AnswerLost",
+    "AnswerTooLong",
     "BerylchuteError",
     "CommandError",
     "ConfigError",
@@ -147,6 +148,10 @@
     code = "answer_invalid"
 
 
+class AnswerTooLong(AnswerInvalid):
+    """The answer exceeds a limit of its size; the request may have run."""
+
+
 class CommandError(BerylchuteError):
     """An operator command failed."""
 
--- a/berylchute/messages.py
+++ b/berylchute/messages.py
@@ -260,8 +260,10 @@
     b"\xaafree_units\x83\xa6digest\x85"
 )
 _DEFLATED_SUFFIX = b"/1"
+# What a message of one object takes beside its value, with a wide margin.
+MESSAGE_ROOM_BYTES = 1_000_000
+MESSAGE_BYTES_DEFAULT = 1_000_000 + MESSAGE_ROOM_BYTES
 _DEFLATE_LEVEL = 1  # higher levels take more CPU time than the saved bytes are worth
-_DECODED_BYTES_MAX = 2_000_000  # an object of 1 MB with room for its frame
 # Messages of some 100 bytes, sent while requests wait: deflate costs more time than it saves.
 _SMALL_TYPES = (AllotmentRequest, AllotmentGrant)
 
@@ -283,21 +285,24 @@
     return [name + _DEFLATED_SUFFIX, deflated] if len(deflated) < len(body) else [name, body]
 
 
-def decode(frames: list[bytes]) -> Message:
-    """Return the message in `frames`; raise PeerError for an unknown type or an invalid body."""
+def decode(frames: list[bytes], body_bytes_max: int = MESSAGE_BYTES_DEFAULT) -> Message:
+    """Return the message in `frames`; raise PeerError for an unknown type or an invalid body.
+
+    A body of more than `body_bytes_max` when inflated is invalid.
+    """
     name = frames[0].removesuffix(_DEFLATED_SUFFIX) if frames else b""
     if len(frames) != 2 or name not in _DECODERS:
         raise PeerError(f"message of {len(frames)} frames: unknown type or wrong number of frames")
     try:
-        body = frames[1] if name == frames[0] else _inflate(frames[1])
+        body = frames[1] if name == frames[0] else _inflate(frames[1], body_bytes_max)
         return _DECODERS[name].decode(body)
     except (msgspec.MsgspecError, zlib.error) as error:
         raise PeerError(f"{name.decode()}: {error}") from error
 
 
-def _inflate(body: bytes) -> bytes:
+def _inflate(body: bytes, bytes_max: int) -> bytes:
     decompressor = zlib.decompressobj(wbits=-zlib.MAX_WBITS, zdict=_DEFLATE_DICTIONARY)
-    inflated = decompressor.decompress(body, _DECODED_BYTES_MAX)
+    inflated = decompressor.decompress(body, bytes_max)
     if not decompressor.eof:
-        raise PeerError("message body is truncated or too long when inflated")
+        raise PeerError(f"body is truncated or has more than {bytes_max} bytes when inflated")
     return inflated
--- a/berylchute/node.py
+++ b/berylchute/node.py
@@ -15,8 +15,8 @@
 from berylchute.config import Configuration, decode_json
 from berylchute.exceptions import ConfigError, StoreError
 from berylchute.membership import Membership, MembershipTiming
-from berylchute.messages import MemberRecord, Message, Outgoing
-from berylchute.objects import OBJECT_KEYS, ObjectReplica
+from berylchute.messages import MESSAGE_ROOM_BYTES, MemberRecord, Message, Outgoing
+from berylchute.objects import OBJECT_KEYS, STORE_VALUE_BYTES_MAX, ObjectReplica
 from berylchute.peers import PeerCounters, Peers
 from berylchute.replication import Replication
 from berylchute.settings import Settings
@@ -108,6 +108,7 @@
         object_keys: Sequence[str] = OBJECT_KEYS,
         timing: MembershipTiming | None = None,
         store_contact: StoreContact | None = None,
+        object_bytes_max: int = STORE_VALUE_BYTES_MAX,
     ) -> None:
         """Create the tasks; without a store, objects come from `apply_object` and from peers."""
         self._settings = settings
@@ -115,7 +116,7 @@
         self._rng = rng or Random()
         self._started_s = self._clock.now_s()
         self._store = store
-        self._objects = ObjectReplica(object_keys)
+        self._objects = ObjectReplica(object_keys, object_bytes_max)
         self._active_configuration: ActiveConfiguration | None = None
         self._object_subscriptions: list[_ObjectSubscription] = []
         self._message_subscriptions: dict[type, list[MemoryObjectSendStream[Message]]] = {}
@@ -126,7 +127,11 @@
         watch_wait_s = settings.store.watch_wait_ms / 1000.0
         self._watch = WatchPlan(watch_wait_s, self._objects, self._rng)
         self._peers = Peers(
-            settings.listen.peers, settings.peers, self._clock, self._handle_message
+            settings.listen.peers,
+            settings.peers,
+            self._clock,
+            self._handle_message,
+            object_bytes_max + MESSAGE_ROOM_BYTES,
         )
         self._membership = Membership(
             _initial_record(settings, role),
--- a/berylchute/objects.py
+++ b/berylchute/objects.py
@@ -1,5 +1,6 @@
 """Replicate store objects: the highest version of each key wins."""
 
+import logging
 from collections.abc import Iterable, Mapping
 
 import attrs
@@ -12,6 +13,8 @@
 OBJECT_KEYS = ("config", "history", "drains", "shifts", "claims")
 STORE_VALUE_BYTES_MAX = 1_000_000  # the store rejects larger values
 
+_LOG = logging.getLogger(__name__)
+
 # After this time without an answer, an object is pulled from the sender of the next digest.
 PULL_RETRY_S = 0.5
 
@@ -23,13 +26,21 @@
 
 
 class ObjectReplica:
-    """Hold the newest known version of each store object; other keys are ignored."""
+    """Hold the newest known version of each store object; other keys are ignored.
+
+    Values of more than `value_bytes_max` are rejected.
+    """
 
-    def __init__(self, keys: Iterable[str] = OBJECT_KEYS) -> None:
+    def __init__(
+        self, keys: Iterable[str] = OBJECT_KEYS, value_bytes_max: int = STORE_VALUE_BYTES_MAX
+    ) -> None:
         self._keys = frozenset(keys)
+        self._value_bytes_max = value_bytes_max
         self._objects: dict[str, StoredObject] = {}
         self._digest: Mapping[str, int] = {}
         self._pulls: dict[str, _Pull] = {}
+        self._pushes: dict[str, ObjectPush] = {}
+        self._rejected: dict[str, int] = {}
 
     def get(self, key: str) -> StoredObject | None:
         """Return the newest known object of a key; None when there is none."""
@@ -50,19 +61,34 @@
     def apply(self, key: str, version: int, value: bytes) -> bool:
         """Store an object if its version is higher than the known one; return whether it was.
 
-        Objects with an unknown key or a value above STORE_VALUE_BYTES_MAX are rejected.
+        Objects with an unknown key or a value that is too long are rejected.
         """
-        if key not in self._keys or len(value) > STORE_VALUE_BYTES_MAX:
+        if key not in self._keys or version <= self.version(key):
             return False
-        if version <= self.version(key):
+        if len(value) > self._value_bytes_max:
+            self._reject(key, version, len(value))
             return False
         self._objects[key] = StoredObject(key=key, version=version, value=value)
+        self._pushes[key] = ObjectPush(key=key, version=version, value=value)
         self._digest = {**self._digest, key: version}
         pull = self._pulls.get(key)
         if pull is not None and pull.version <= version:
             del self._pulls[key]
         return True
 
+    def _reject(self, key: str, version: int, size_bytes: int) -> None:
+        if version == self._rejected.get(key):
+            return
+        self._rejected[key] = version
+        _LOG.error(
+            "object %s version %d has %d bytes, more than %d: keeping version %d",
+            key,
+            version,
+            size_bytes,
+            self._value_bytes_max,
+            self.version(key),
+        )
+
     def start_pull(self, versions: Mapping[str, int], now_s: float) -> tuple[str, ...]:
         """Return the keys to pull from a peer with these versions, and record the pulls.
 
@@ -73,6 +99,8 @@
         for key, version in versions.items():
             if key not in self._keys or version <= self.version(key):
                 continue
+            if version == self._rejected.get(key):
+                continue
             pull = self._pulls.get(key)
             if pull and pull.version >= version and now_s - pull.started_s < PULL_RETRY_S:
                 continue
@@ -91,10 +119,6 @@
         return any(version > versions.get(key, 0) for key, version in self._digest.items())
 
     def pushes_for(self, keys: Iterable[str]) -> tuple[ObjectPush, ...]:
-        """Return a push message for each known object among `keys`."""
-        found = (self._objects.get(key) for key in dict.fromkeys(keys))
-        return tuple(
-            ObjectPush(key=item.key, version=item.version, value=item.value)
-            for item in found
-            if item is not None
-        )
+        """Return a push message for each known object among `keys`, the same one each time."""
+        found = (self._pushes.get(key) for key in dict.fromkeys(keys))
+        return tuple(push for push in found if push is not None)
--- a/berylchute/peers.py
+++ b/berylchute/peers.py
@@ -12,7 +12,7 @@
 
 from berylchute.exceptions import PeerError
 from berylchute.listening import listen
-from berylchute.messages import Message, decode, encode
+from berylchute.messages import MESSAGE_BYTES_DEFAULT, Message, ObjectPush, decode, encode
 from berylchute.settings import PeersSettings
 from berylchute.types import Clock
 
@@ -24,7 +24,8 @@
 # Bounds the queue for an unreachable peer; the protocol repeats all messages, so old ones are
 # of no use.
 PEER_QUEUE_MESSAGES_MAX = 256
-MESSAGE_BYTES_MAX = 2_000_000  # an object of 1 MB with room for its frame
+# Longer messages are encoded once for all peers that ask for the same object.
+LARGE_MESSAGE_BYTES = 65_536
 # Closes idle connections, as relays gossip with random peers and would run out of descriptors.
 IDLE_CLOSE_S = 60.0
 RECEIVE_BATCH_MESSAGES = 64
@@ -68,15 +69,18 @@
         settings: PeersSettings,
         clock: Clock,
         on_message: Callable[[Message], None],
+        message_bytes_max: int = MESSAGE_BYTES_DEFAULT,
     ) -> None:
         self._listen = listen
         self._settings = settings
         self._clock = clock
         self._on_message = on_message
+        self._message_bytes_max = message_bytes_max
         self._queue: deque[_QueuedMessage] = deque()
         self._wake_event = anyio.Event()
         self._dealers: dict[str, _Dealer] = {}
         self._last_encoded: tuple[Message, list[bytes]] | None = None
+        self._large_encoded: dict[str, tuple[ObjectPush, list[bytes]]] = {}
         self.counters = PeerCounters()
 
     def send(self, address: str, message: Message) -> None:
@@ -84,11 +88,19 @@
         if len(self._queue) >= SEND_QUEUE_MESSAGES_MAX:
             self.counters.dropped_queue_full += 1
             return
-        # Encodes a message once when it goes to many peers in a row.
+        self._queue.append(_QueuedMessage(address, self._encode(message)))
+        self._wake_event.set()
+
+    def _encode(self, message: Message) -> list[bytes]:
+        """Encode a message once when it goes to many peers in a row, or is a large object."""
+        if isinstance(message, ObjectPush) and len(message.value) > LARGE_MESSAGE_BYTES:
+            large = self._large_encoded.get(message.key)
+            if large is None or large[0] is not message:
+                large = self._large_encoded[message.key] = (message, encode(message))
+            return large[1]
         if self._last_encoded is None or self._last_encoded[0] is not message:
             self._last_encoded = (message, encode(message))
-        self._queue.append(_QueuedMessage(address, self._last_encoded[1]))
-        self._wake_event.set()
+        return self._last_encoded[1]
 
     async def run(
         self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
@@ -127,7 +139,7 @@
 
     def _make_router(self, context: zmq.asyncio.Context) -> zmq.asyncio.Socket:
         router = context.socket(zmq.ROUTER)
-        router.setsockopt(zmq.MAXMSGSIZE, MESSAGE_BYTES_MAX)
+        router.setsockopt(zmq.MAXMSGSIZE, self._message_bytes_max)
         router.setsockopt(zmq.RCVHWM, PEER_QUEUE_MESSAGES_MAX)
         router.setsockopt(zmq.LINGER, 0)
         self._set_keepalive(router)
@@ -211,7 +223,7 @@
         self.counters.received_messages += 1
         self.counters.received_bytes += sum(map(len, frames[1:]))
         try:
-            message = decode(frames[1:])
+            message = decode(frames[1:], self._message_bytes_max)
         except PeerError as error:
             self.counters.dropped_invalid += 1
             _LOG.warning("cannot decode a message from a peer, dropping it: %s", error)
--- a/berylchute/processsignals.py
+++ b/berylchute/processsignals.py
@@ -21,7 +21,7 @@
 
     def __init__(self) -> None:
         """Install the handlers; must be called in the main thread."""
-        self._notify: Callable[[], None] | None = None
+        self._notify: Callable[[], object] | None = None
         self._has_reload = False
         self.is_stop_requested = False
         self._replaced = {
@@ -29,7 +29,7 @@
             for number in (*_STOP_SIGNALS, signal.SIGHUP)
         }
 
-    def attach(self, notify: Callable[[], None]) -> None:
+    def attach(self, notify: Callable[[], object]) -> None:
         """Call `notify` after each signal from now on; it must be safe in a signal handler."""
         self._notify = notify
         if self.is_stop_requested or self._has_reload:
--- a/berylchute/routeindex.py
+++ b/berylchute/routeindex.py
@@ -29,6 +29,29 @@
         return self.shares[best].service
 
 
+class _HostRoutes:
+    """The routes of one host by path prefix; the first of two with the same prefix counts.
+
+    Load handled: thousands of routes of one host. A look-up depends on the number of different
+    lengths of prefixes only.
+    """
+
+    def __init__(self, routes: Sequence[Route]) -> None:
+        self._by_prefix: dict[str, Route] = {}
+        for route in routes:
+            self._by_prefix.setdefault(route.path_prefix, route)
+        self._lengths = sorted({len(prefix) for prefix in self._by_prefix}, reverse=True)
+        self.home_regions = frozenset(region for route in routes for region in route.home_regions)
+
+    def find(self, path: str) -> Route | None:
+        """Return the route with the longest matching prefix of `path`, or None."""
+        for length in self._lengths:
+            route = self._by_prefix.get(path[:length])
+            if route is not None:
+                return route
+        return None
+
+
 class RouteIndex:
     """The current route table, indexed by host and path prefix.
 
@@ -38,7 +61,7 @@
     def __init__(self) -> None:
         self.table: RouteTable | None = None
         self.organisations: OrganisationDirectory | None = None
-        self._by_host: dict[str, list[Route]] = {}
+        self._by_host: dict[str, _HostRoutes] = {}
         self._round_robins: dict[str, _WeightedRoundRobin] = {}
 
     def replace(self, table: RouteTable) -> bool:
@@ -49,25 +72,22 @@
         self.organisations = (
             OrganisationDirectory(table.organisations) if table.organisations else None
         )
-        self._by_host = {}
+        by_host: dict[str, list[Route]] = {}
         for route in table.routes:
-            self._by_host.setdefault(route.host, []).append(route)
-        for routes in self._by_host.values():
-            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+            by_host.setdefault(route.host, []).append(route)
+        self._by_host = {host: _HostRoutes(routes) for host, routes in by_host.items()}
         self._round_robins = {}
         return True
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest matching prefix of `path`, or None."""
-        for route in self._by_host.get(host, ()):
-            if path.startswith(route.path_prefix):
-                return route
-        return None
+        routes = self._by_host.get(host)
+        return routes.find(path) if routes is not None else None
 
     def home_regions(self, host: str) -> frozenset[str]:
         """Return the home regions of a host's routes; empty if none is bound to regions."""
-        routes = self._by_host.get(host, ())
-        return frozenset(region for route in routes for region in route.home_regions)
+        routes = self._by_host.get(host)
+        return routes.home_regions if routes is not None else frozenset()
 
     def select_service(self, route: Route) -> str:
         """Return the service for the next request of a route, in proportion to the weights."""
--- a/berylchute/sharedobjects.py
+++ b/berylchute/sharedobjects.py
@@ -25,6 +25,7 @@
     "ZoneDrains",
     "decode_object",
     "encode_object",
+    "encoded_bytes_max",
 ]
 
 ROUTES_KEY = "routes"
@@ -32,6 +33,9 @@
 ZONE_DRAINS_KEY = "zone_drains"
 SHARED_KEYS = (ROUTES_KEY, SERVERS_KEY, ZONE_DRAINS_KEY)
 
+# An encoded object may be this many times as long as what the store holds: a key of three
+# characters takes 6 bytes there, its digest 67.
+ENCODED_RATIO_MAX = 12
 _SHA256_HEX = re.compile(r"[0-9a-f]{64}")
 
 
@@ -181,6 +185,11 @@
     return msgspec.json.encode(value)
 
 
+def encoded_bytes_max(value_bytes_max: int) -> int:
+    """Return the largest size of an encoded object, if the store's values have at most this one."""
+    return ENCODED_RATIO_MAX * value_bytes_max
+
+
 def decode_object(key: str, value: bytes) -> SharedObject:
     """Decode the value of the shared object `key`; raise ConfigError if it is not valid."""
     try:
--- a/berylchute/upstreammessages.py
+++ b/berylchute/upstreammessages.py
@@ -16,7 +16,8 @@
     The answer must carry `request_id` in the header `id_header`; an empty id is not checked.
     `is_head` is true for the method HEAD, whose answer has no body. A request that
     `needs_new_connection` shares its connection with no other request. `may_send` is called before
-    the first byte is sent, if the request had to wait for a connection.
+    the first byte is sent, if the request had to wait for a connection, `on_data` whenever bytes
+    of the answer arrive.
     """
 
     request_id: bytes
@@ -26,6 +27,7 @@
     body: bytes | bytearray = b""
     needs_new_connection: bool = False
     may_send: Callable[[], bool] | None = None
+    on_data: Callable[[], None] | None = None
 
 
 @attrs.frozen
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -1,10 +1,13 @@
 """Check the message codec."""
 
+from random import Random
+
 import pytest
 
 from berylchute import messages
 from berylchute.exceptions import PeerError
 from berylchute.limitreports import NO_LIMIT
+from berylchute.sharedobjects import encoded_bytes_max
 from tests.test_directory import member
 
 
@@ -28,6 +31,17 @@
     assert messages.decode(frames) == message
 
 
+def test_object_of_the_largest_size_passes_between_members() -> None:
+    # Guard against a configuration that the store accepts and members can't send to each other.
+    object_bytes = encoded_bytes_max(1_048_576)
+    for value in (bytes(object_bytes), Random(1).randbytes(object_bytes)):
+        push = messages.ObjectPush(key="routes", version=1, value=value)
+        frames = messages.encode(push)
+        body_bytes_max = object_bytes + messages.MESSAGE_ROOM_BYTES
+        assert messages.decode(frames, body_bytes_max) == push
+        assert sum(map(len, frames)) <= body_bytes_max
+
+
 def test_inflation_is_bounded() -> None:
     """Guard against a small message that exhausts the receiver's memory when inflated."""
     frames = messages.encode(messages.ObjectPush(key="config", version=7, value=bytes(3_000_000)))
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -52,6 +52,21 @@
     assert replica.pushes_for(["config", "other"]) == ()
 
 
+def test_rejected_value_is_logged_once_and_not_pulled(caplog: pytest.LogCaptureFixture) -> None:
+    # Guard against a configuration that doesn't come into force without a word, and against members
+    # that ask each other for it forever.
+    replica = ObjectReplica(value_bytes_max=10)
+    assert replica.apply("config", 3, bytes(10))
+    for _ in range(3):
+        assert not replica.apply("config", 4, bytes(11))
+    assert replica.start_pull({"config": 4}, now_s=0.0) == ()
+    assert replica.start_pull({"config": 5}, now_s=0.0) == ("config",)
+    assert [record.getMessage() for record in caplog.records] == [
+        "object config version 4 has 11 bytes, more than 10: keeping version 3"
+    ]
+    assert replica.version("config") == 3
+
+
 def test_peers_with_different_keys_do_not_exchange_digests_forever() -> None:
     """Guard against a loop of digests between members of two builds that hold different keys."""
     replies = []
--- a/tests/test_routeindex.py
+++ b/tests/test_routeindex.py
@@ -1,6 +1,7 @@
 """Check the selection of routes by prefix, the versions of the table, and weights."""
 
 from collections import Counter
+from random import Random
 
 from berylchute.routeindex import RouteIndex
 from berylchute.sharedobjects import CallerLimits, Route, RouteKind, RouteShare, RouteTable
@@ -36,6 +37,21 @@
     assert index.find("c", "/a/") is None
 
 
+def test_look_up_finds_what_a_search_of_all_routes_finds() -> None:
+    # Guard against a route that the index by prefix misses, among prefixes of many lengths.
+    rng = Random(1)
+    prefixes = {
+        "/" + "".join(rng.choices(["a/", "b/", "ab/"], k=rng.randrange(5))) for _ in range(60)
+    }
+    index = RouteIndex()
+    index.replace(table(1, *(route(prefix) for prefix in prefixes)))
+    for _ in range(500):
+        path = "/" + "".join(rng.choices(["a", "b", "/"], k=rng.randrange(9)))
+        expected = max((p for p in prefixes if path.startswith(p)), key=len, default=None)
+        found = index.find("a", path)
+        assert (found.path_prefix if found else None) == expected
+
+
 def test_older_table_changes_nothing() -> None:
     # Guard against a rollback of the routes when an older table arrives late.
     index = RouteIndex()
