callers: take an answer for sent when its caller has acknowledged it

Cause: a connection counted as done when its answers had been handed to the transport, whose buffer still held up to 64 kB. Its sending side was ended, and after 3 s the transport was aborted with the rest.

Change: sendprogress, without a network, decides from what waits in the transport and in the kernel. The time for the caller to close begins when everything is acknowledged; a caller is reset only if it reads nothing for the idle time-out. At the end of a stop the kernel's bound on unsent bytes is lifted, so that it takes over the rest. Related paths: the idle time-out cut answers in the same way, the time-out of callers that don't read counted from when the buffer was full, and a connection with an answer in its buffer gave way to new ones at once. callerconnection and connectionserver no longer import each other.

--- a/berylchute/answerwriter.py
+++ b/berylchute/answerwriter.py
@@ -5,6 +5,7 @@
 
 from berylchute.bodymemory import BodyMemory, BodyStage
 from berylchute.callermessages import PendingRequest, encode_head
+from berylchute.sendprogress import SendProgress
 
 __all__ = ["AnswerWriter"]
 
@@ -19,13 +20,13 @@
     `paused_s` is since when the caller reads more slowly than answers are written.
     """
 
-    __slots__ = ("_body_memory", "_buffered_bytes", "_on_drop", "_unsent", "paused_s", "sending")
+    __slots__ = ("_body_memory", "_on_drop", "_unsent", "paused_s", "progress", "sending")
 
     def __init__(self, body_memory: BodyMemory, on_drop: Callable[[str], None]) -> None:
         self._body_memory = body_memory
         self._on_drop = on_drop
         self._unsent = memoryview(b"")
-        self._buffered_bytes = 0
+        self.progress = SendProgress()
         self.paused_s: float | None = None
         self.sending: PendingRequest | None = None
 
@@ -34,6 +35,16 @@
         """Return whether a part of the last answer is not written yet."""
         return bool(self._unsent)
 
+    @property
+    def waiting_s(self) -> float | None:
+        """Return since when written bytes have waited for the caller, None if none do."""
+        return self.progress.waiting_s if self.paused_s is None else self.paused_s
+
+    def stalled_s(self, now_s: float) -> float:
+        """Return for how long the caller has read nothing although bytes wait."""
+        waiting_s = self.waiting_s
+        return 0.0 if waiting_s is None else now_s - max(waiting_s, self.progress.moved_s)
+
     @property
     def can_write(self) -> bool:
         """Return whether another answer may be written now."""
@@ -64,12 +75,12 @@
             # An empty view would still hold the whole body.
             self._unsent = memoryview(b"")
 
-    def count_buffered(self, transport: asyncio.Transport) -> None:
+    def count_buffered(self, transport: asyncio.Transport, now_s: float) -> None:
         """Tell the memory account what waits in the buffer of the transport."""
         buffered_bytes = transport.get_write_buffer_size()
-        if buffered_bytes == self._buffered_bytes:
+        added_bytes = self.progress.record(buffered_bytes, now_s)
+        if not added_bytes:
             return
-        added_bytes, self._buffered_bytes = buffered_bytes - self._buffered_bytes, buffered_bytes
         if buffered_bytes:
             self._body_memory.hold(self, BodyStage.SENDING_ANSWER, added_bytes)
         else:
@@ -77,7 +88,7 @@
 
     def drop_body(self, reason: str) -> None:
         """Give up what waits in the buffer of the transport; implements BodyHolder."""
-        self._buffered_bytes = 0
+        self.progress = SendProgress()
         self._on_drop(f"answer: {reason}")
 
     def release_sending(self) -> None:
@@ -89,5 +100,5 @@
 
     def release_buffered(self) -> None:
         """Forget the buffer of a transport that is closed."""
-        self._buffered_bytes = 0
+        self.progress = SendProgress()
         self._body_memory.release(self, BodyStage.SENDING_ANSWER)
--- a/berylchute/callerconnection.py
+++ b/berylchute/callerconnection.py
@@ -11,18 +11,16 @@
 from berylchute.callermessages import CallerAnswer, CallerRequest, PendingRequest
 from berylchute.connectionserver import ConnectionServer
 from berylchute.requestreader import RequestReader
+from berylchute.sendbuffers import count_unsent
+from berylchute.sendprogress import STALLED_S, Linger, LingerStep
 
-__all__ = ["PIPELINED_REQUESTS_MAX", "CallerConnection", "ConnectionServer"]
+__all__ = ["PIPELINED_REQUESTS_MAX", "CallerConnection"]
 
 logger = logging.getLogger(__name__)
 
 # Pipelined requests in flight on one connection; reading pauses at this number. Browsers and
 # client libraries pipeline far fewer.
 PIPELINED_REQUESTS_MAX = 64
-# Time for answers on their way to a slow caller after the sending side was ended.
-LINGER_S = 3.0
-# A caller that has read nothing for this time may be disconnected for others.
-STALLED_S = 1.0
 
 
 class CallerConnection(asyncio.BufferedProtocol):
@@ -41,8 +39,7 @@
         self._is_paused = False
         self._is_closing = False
         self.is_closed = False
-        self._is_lingering = False
-        self._linger_until_s = 0.0
+        self._linger: Linger | None = None
         self._is_reported = False
         self._writer = AnswerWriter(server.body_memory, self.abort)
 
@@ -161,8 +158,7 @@
         if self._is_closing:
             return
         held_bytes = self._reader.held_bytes() + len(self._unparsed)
-        added_bytes = held_bytes - self._held_bytes
-        if added_bytes:
+        if added_bytes := held_bytes - self._held_bytes:
             self._held_bytes = held_bytes
             self._server.body_memory.hold(self, BodyStage.RECEIVING_REQUEST, added_bytes)
 
@@ -220,7 +216,7 @@
     def _flush(self) -> None:
         """Send the answers whose earlier requests are all answered, as fast as the caller reads."""
         transport, writer = self._transport, self._writer
-        if transport is None or self.is_closed or self._is_lingering:
+        if transport is None or self.is_closed or self._linger is not None:
             return
         if writer.is_unsent:
             writer.write_more(transport)
@@ -230,7 +226,7 @@
             self._is_closing = self._is_closing or is_last
             self._last_activity_s = self._server.clock.now_s()
             writer.write(transport, pending, is_last)
-        writer.count_buffered(transport)
+        writer.count_buffered(transport, self._server.clock.now_s())
         if writer.is_unsent:
             return
         if self._is_closing and not self._pending:
@@ -259,12 +255,11 @@
         """Close the connection if it exceeds a timeout; a partial request gets status 408."""
         limits = self._server.limits
         idle_s = now_s - self._last_activity_s
-        self._writer.count_buffered(self.transport)
-        if self._is_lingering:
-            if now_s > self._linger_until_s:
-                self._end_lingering()
+        self._writer.count_buffered(self.transport, now_s)
+        if self._linger is not None:
+            self._follow_linger(self._linger, now_s)
         elif self._writer.paused_s is not None:
-            stalled_s = now_s - self._writer.paused_s
+            stalled_s = self._writer.stalled_s(now_s)
             if stalled_s > limits.idle_timeout_s:
                 self._abort(Cause.NOT_READING, f"it has read nothing for {stalled_s:.1f} s")
         elif self._is_paused:
@@ -280,14 +275,15 @@
 
     def closing_rank(self, now_s: float) -> tuple[ClosingRank, float] | None:
         """Return whether the connection may be closed for others; see ClosableConnection."""
-        if self._is_lingering:
-            return ClosingRank.LINGERING, self._linger_until_s
-        reader, paused_s = self._reader, self._writer.paused_s
-        if self._pending or self._writer.is_unsent:
+        reader, writer, linger = self._reader, self._writer, self._linger
+        if linger is not None and linger.sent_s is not None:
+            return ClosingRank.LINGERING, linger.sent_s
+        since_s = writer.waiting_s if linger is None else linger.progress.waiting_s
+        if self._pending or writer.is_unsent or since_s is not None:
             is_in_flight = any(pending.answer is None for pending in self._pending)
-            if is_in_flight or paused_s is None or now_s - paused_s < STALLED_S:
+            if is_in_flight or since_s is None or now_s - since_s < STALLED_S:
                 return None
-            return ClosingRank.NOT_READING, paused_s
+            return ClosingRank.NOT_READING, since_s
         if reader.started_s is None:
             return ClosingRank.QUIET, self._last_activity_s
         if reader.is_reading_head:
@@ -346,10 +342,10 @@
 
     def report(self, cause: Cause, text: str) -> None:
         """Count why a request is refused or the connection closed, and log the first cause."""
-        peer = self.transport.get_extra_info("peername")
         is_logged = not self._is_reported
         self._is_reported = True
-        self._server.caller_events.record(cause, f"{peer}: {text}", is_logged=is_logged)
+        text = f"{self.transport.get_extra_info('peername')}: {text}"
+        self._server.caller_events.record(cause, text, is_logged=is_logged)
 
     def _release_received(self) -> None:
         """Free what is held of an incomplete request and of bytes that are not parsed."""
@@ -372,15 +368,15 @@
         self._release_received()
 
     def _close(self) -> None:
-        """End the sending side, and read on until the caller closes or a time has passed.
+        """End the sending side, and read on until the caller closes or all is sent for a time.
 
         To close a socket that has unread bytes, or gets more, resets the connection, and answers on
         their way are lost.
         """
-        if self._is_lingering or self.is_closed:
+        if self._linger is not None or self.is_closed:
             return
-        self._is_closing = self._is_lingering = True
-        self._linger_until_s = self._server.clock.now_s() + LINGER_S
+        self._is_closing = True
+        self._linger = Linger()
         self._cancel_pending()
         if self._transport is None or self._transport.is_closing():
             return
@@ -390,9 +386,14 @@
         except OSError:
             # The caller has reset the connection, and the event loop has not seen it yet.
             self._transport.abort()
+            return
+        self._follow_linger(self._linger, self._server.clock.now_s())
 
-    def _end_lingering(self) -> None:
-        if self.transport.get_write_buffer_size():
-            self.transport.abort()
-        else:
+    def _follow_linger(self, linger: Linger, now_s: float) -> None:
+        """Close the connection once all is sent and the caller has had time to close it."""
+        unsent_bytes = count_unsent(self.transport)
+        step = linger.next_step(unsent_bytes, now_s, self._server.limits.idle_timeout_s)
+        if step is LingerStep.CLOSE:
             self.transport.close()
+        elif step is LingerStep.RESET:
+            self._abort(Cause.NOT_READING, f"{unsent_bytes} bytes are unread for too long")
--- a/berylchute/callers.py
+++ b/berylchute/callers.py
@@ -8,8 +8,10 @@
 from berylchute.callerconnection import PIPELINED_REQUESTS_MAX, CallerConnection
 from berylchute.callerlimits import CallerGuard
 from berylchute.callermessages import CallerAnswer, CallerRequest, Header, PendingRequest
+from berylchute.connectionserver import OpenConnection
 from berylchute.headernames import HeaderNames
 from berylchute.listening import listen, open_server
+from berylchute.sendbuffers import lift_unsent_bound
 from berylchute.sharedobjects import CallerLimits
 from berylchute.types import Clock
 
@@ -62,7 +64,7 @@
         self.read_buffer = bytearray(READ_BYTES_MAX)
         self.call_soon: Callable[[Callable[[], None]], None] = _call_soon
         self.is_closing = False
-        self.connections: set[CallerConnection] = set()
+        self.connections: set[OpenConnection] = set()
         self._server: asyncio.Server | None = None
 
     async def start(self, address: str) -> None:
@@ -89,10 +91,14 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
-    def refuse_incomplete(self) -> None:
-        """Refuse requests that are partly received as not run, and close idle connections."""
+    def end_requests(self) -> None:
+        """Refuse requests that are partly received as not run, and close idle connections.
+
+        The kernel takes over the answers on their way, for callers that read slowly.
+        """
         for connection in list(self.connections):
             connection.give_up()
+            lift_unsent_bound(connection.transport)
 
     async def close_timed_out_forever(self) -> None:
         """Close connections that exceed a caller timeout, until cancelled."""
--- a/berylchute/gracefulstop.py
+++ b/berylchute/gracefulstop.py
@@ -41,7 +41,7 @@
             connections=len(caller_server.connections),
         )
         handler.end_unfinished()
-        caller_server.refuse_incomplete()
+        caller_server.end_requests()
         await _close_connections(caller_server, clock, times.exit_s, is_listening=False)
 
 
--- a/berylchute/listening.py
+++ b/berylchute/listening.py
@@ -10,6 +10,7 @@
 import anyio
 
 from berylchute.exceptions import ListenError
+from berylchute.sendbuffers import TCP_NOTSENT_LOWAT
 
 __all__ = ["listen", "open_server"]
 
@@ -20,8 +21,6 @@
 # open connections sees the accepted ones two turns later.
 BACKLOG = 1_024
 ACCEPTED_MAX = 16
-# Of Linux; the socket module has it from Python 3.12 on.
-TCP_NOTSENT_LOWAT = 25
 _PASSING_ERRORS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
 
 logger = logging.getLogger(__name__)
--- a/tests/test_callerconnections.py
+++ b/tests/test_callerconnections.py
@@ -234,6 +234,23 @@
     assert transports[0].is_gone and not transports[-1].is_gone
 
 
+def test_answers_on_their_way_do_not_give_way_at_once() -> None:
+    # Guard against answers that are cut for new connections, since their connections count as idle
+    # or closed while the answers wait in buffers.
+    world = _World()
+    transports = [world.connect(GET) for _ in range(10)]
+    for transport, pending in zip(transports, world.requests, strict=True):
+        transport.unsent = 10_000
+        pending.respond(CallerAnswer(200, body=bytes(20_000)))
+    for connection in world.opened[:5]:
+        connection.close_if_idle()
+    assert world.connect(GET).is_aborted
+    assert not any(transport.is_gone for transport in transports)
+    world.clock.now += 2.0
+    assert not world.connect(GET).is_aborted
+    assert any(transport.is_gone for transport in transports)
+
+
 def test_caller_that_sends_but_never_reads_is_given_up() -> None:
     # Guard against answers that are held for a caller as long as it sends a byte now and then.
     world = _World()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from berylchute.callerconnection import LINGER_S
 from berylchute.callers import (
     PIPELINED_REQUESTS_MAX,
     CallerAnswer,
@@ -10,6 +9,7 @@
     CallerServer,
     PendingRequest,
 )
+from berylchute.sendprogress import LINGER_S
 from berylchute.sharedobjects import CallerLimits
 from tests.httpfakes import FakeTransport, ManualClock
 
@@ -253,6 +253,50 @@
     assert caller.transport.is_gone and not caller.transport.is_aborted
 
 
+@pytest.mark.parametrize("is_stop", [True, False])
+def test_answer_on_its_way_is_not_cut_when_its_connection_closes(is_stop: bool) -> None:
+    """Guard against an answer that is cut since it waits in a buffer of a closed connection."""
+    caller = _Caller(CallerLimits(idle_timeout_s=15.0))
+    caller.send(_get("/", "" if is_stop else "Connection: close\r\n"))
+    caller.transport.unsent = 60_000
+    caller.requests[0].respond(CallerAnswer(200, body=bytes(60_000)))
+    if is_stop:
+        caller.connection.close_if_idle()
+    while caller.transport.unsent:
+        caller.clock.now += 1.0
+        caller.transport.unsent -= 6_000
+        caller.connection.close_if_timed_out(caller.clock.now)
+        assert not caller.transport.is_gone
+    caller.connection.close_if_timed_out(caller.clock.now + LINGER_S + 0.1)
+    assert caller.transport.is_gone and not caller.transport.is_aborted
+
+
+def test_closed_connection_whose_caller_stops_reading_is_reset() -> None:
+    """Guard against answers that are held forever for a caller that reads nothing more."""
+    caller = _Caller(CallerLimits(idle_timeout_s=15.0))
+    caller.send(_get("/", "Connection: close\r\n"))
+    caller.transport.unsent = 60_000
+    caller.requests[0].respond(CallerAnswer(200, body=bytes(60_000)))
+    caller.connection.close_if_timed_out(caller.clock.now + 14.9)
+    assert not caller.transport.is_gone
+    caller.connection.close_if_timed_out(caller.clock.now + 15.1)
+    assert caller.transport.is_aborted
+
+
+def test_caller_that_reads_slowly_is_not_taken_for_one_that_reads_nothing() -> None:
+    """Guard against answers that are cut since their buffer takes longer than the idle time-out."""
+    caller = _Caller(CallerLimits(idle_timeout_s=15.0))
+    caller.send(_get("/"))
+    caller.transport.unsent = 64_000
+    caller.connection.pause_writing()
+    caller.requests[0].respond(CallerAnswer(200, body=bytes(100_000)))
+    for _ in range(30):
+        caller.clock.now += 1.0
+        caller.transport.unsent -= 1_000
+        caller.connection.close_if_timed_out(caller.clock.now)
+    assert not caller.transport.is_closed
+
+
 def test_paused_reading_goes_on_when_the_connection_is_closed() -> None:
     """Guard against unread bytes of a pipelining caller, which would reset its connection."""
     caller = _Caller()
--- a/tests/test_processstop.py
+++ b/tests/test_processstop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import signal
 import socket
 from pathlib import Path
@@ -15,13 +16,15 @@
 ANSWERS = 3
 
 
-async def _serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+async def _serve(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, answer_bytes: int = ANSWER_BYTES
+) -> None:
     with contextlib.suppress(OSError, asyncio.IncompleteReadError):
         while True:
             head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
             fields = {n.lower(): v for n, _, v in (line.partition(": ") for line in head[1:])}
             answer = f"HTTP/1.1 200 OK\r\nRequest-Id: {fields['request-id']}\r\n"
-            body = bytes(ANSWER_BYTES)
+            body = bytes(answer_bytes)
             writer.write(f"{answer}Content-Length: {len(body)}\r\n\r\n".encode() + body)
     writer.close()
 
@@ -71,6 +74,34 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("answers, answer_bytes", [(1, 110_000), (4, 34_000)])
+def test_stop_delivers_answers_that_are_read_slowly(
+    answers: int, answer_bytes: int, tmp_path: Path
+) -> None:
+    # Guard against answers that are cut some seconds into a stop, since what waits in buffers
+    # counts as sent. The kernel sends the rest when the process has ended.
+    async def main() -> None:
+        serve = functools.partial(_serve, answer_bytes=answer_bytes)
+        async with start_world(tmp_path, servers=0, handle=serve) as (edge, _):
+            await edge.configure(2, {}, **{"timeout-s": 20.0})
+            await edge.start()
+            await edge.wait_ready()
+            loop = asyncio.get_running_loop()
+            sock = await _connect_slowly(edge)
+            await loop.sock_sendall(sock, b"".join(_request(n) for n in range(answers)))
+            await asyncio.sleep(0.5)
+            edge.running.send_signal(signal.SIGTERM)
+            received = 0
+            while data := await loop.sock_recv(sock, 1_700):
+                received += len(data)
+                await asyncio.sleep(0.1)
+            sock.close()
+            assert received >= answers * answer_bytes
+            assert await edge.wait_exit() == 0
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize("length, status", [(90_000_000, 413), (66_000_000, 503)])
 def test_refused_upload_gets_its_answer(length: int, status: int, tmp_path: Path) -> None:
     # Guard against a reset in place of a refusal for a caller that is still sending a body.
