platform: complete a list of several pages with the changes between them

Cause: the store's lists come in pages, each as of its own revision. read() joined them under the revision of the last page. A change between two pages of an entry on an earlier page was in none of them, and the watch that followed began after it. Under that revision the list also replaced the right one of other members.

Change: pagedlisting, without a network, completes the pages with the changes since the first one, before anyone uses the list. If the store no longer has the changes, the list counts as of its first page: it replaces no newer list, and the watch that follows makes the process read it again.

--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -3,7 +3,9 @@
 import asyncio
 import json
 import re
+from collections.abc import Mapping
 from random import Random
+from typing import Any
 
 import pytest
 
@@ -170,6 +172,38 @@
     assert value == b'{"availability_zones":["za","zb"]}'
 
 
+def _drainable(name: str, state: str) -> Mapping[str, Any]:
+    info = {"service": "s", "zone": "za", "slots": 9}
+    spec = {"address": "10.0.0.1:80", "info": info, "born": 1}
+    return {"metadata": {"name": name}, "spec": spec, "status": {"state": state}}
+
+
+def test_server_that_begins_to_drain_between_two_pages_is_seen() -> None:
+    # Guard against requests to a server that drains: it is on a page that was read before, and the
+    # watch that follows begins after the change.
+    first = StoreAnswer({"items": [_drainable("i-1", "ready")], "has-more": True, "at-rev": 49})
+    value, paths = _follow(
+        first,
+        listing(50, [_drainable("i-2", "ready")]),
+        changed(50, [_drainable("i-1", "draining")]),
+        collection=COLLECTIONS[1],
+    )
+    assert "watch=49" in paths[2]
+    servers = decode_object("servers", value)
+    assert isinstance(servers, ServerList)
+    assert [(e.server_id, e.is_draining) for e in servers.entries] == [
+        ("i-1", True),
+        ("i-2", False),
+    ]
+
+
+def test_list_is_used_if_the_changes_between_its_pages_are_gone() -> None:
+    # Guard against a process that never becomes ready at a store that forgets its history.
+    first = StoreAnswer({"items": [zone("za")], "has-more": True, "at-rev": 49})
+    value, _ = _follow(first, listing(50, [zone("zb")]), listing(50, status=410))
+    assert value == b'{"availability_zones":["za","zb"]}'
+
+
 def test_pages_of_two_histories_are_read_again() -> None:
     # Guard against a list that is put together from the entries before and after a restore.
     first = StoreAnswer({"items": [zone("za")], "has-more": True, "at-rev": 49})
