serverconnection: end exchanges at once whose status is no answer

A server answered with the status 000; its caller heard nothing until the time-out of the route and then got 504.

Cause: every status below 200 counted as an interim answer, and every other one as a final one. The entry program's client passed on statuses from 600 on.

Change: only 200 to 599 are final and 100, 102 and 103 interim; all others fail the exchange at once. A request that may run twice is tried again, others get 502.

--- a/berylchute/answerlimits.py
+++ b/berylchute/answerlimits.py
@@ -7,6 +7,8 @@
     "MEMORY_DEFAULT_MB",
     "AnswerLimits",
     "AnswerMeter",
+    "is_final_status",
+    "is_interim_status",
     "parse_content_length",
 ]
 
@@ -14,6 +16,8 @@
 MEMORY_DEFAULT_MB = 256.0
 # A petabyte; `int` alone would also accept signs, underscores and spaces.
 LENGTH_DIGITS_MAX = 15
+# Continue, Processing and Early Hints. Others of 1xx answer what no request here asks for.
+_INTERIM_STATUSES = frozenset((100, 102, 103))
 
 
 @attrs.frozen
@@ -66,6 +70,16 @@
         return ""
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether an answer with this status ends its exchange."""
+    return 200 <= status <= 599
+
+
+def is_interim_status(status: int) -> bool:
+    """Return whether a final answer follows one with this status."""
+    return status in _INTERIM_STATUSES
+
+
 def parse_content_length(value: bytes) -> int | None:
     """Return a Content-Length, None unless it is 1 to LENGTH_DIGITS_MAX ASCII digits."""
     return int(value) if value.isdigit() and len(value) <= LENGTH_DIGITS_MAX else None
--- a/berylchute/exchange.py
+++ b/berylchute/exchange.py
@@ -8,7 +8,12 @@
 import attrs
 import httpcore
 
-from berylchute.answerlimits import AnswerLimits, AnswerMeter, parse_content_length
+from berylchute.answerlimits import (
+    AnswerLimits,
+    AnswerMeter,
+    is_final_status,
+    parse_content_length,
+)
 from berylchute.exceptions import ExchangeError
 from berylchute.responses import read_response
 from berylchute.serverstreams import (
@@ -106,6 +111,8 @@
         """Check status and headers; raise AnswerForeign or AnswerUnframed."""
         if self.state is not MatchState.WAITING:
             raise self._fail(AnswerForeign("a second answer arrived for the same request"))
+        if not is_final_status(status):
+            raise self._fail(AnswerForeign(f"status {status} is no answer"))
         echoes = 0
         is_chunked = False
         for raw_name, value in headers:
--- a/berylchute/serverconnection.py
+++ b/berylchute/serverconnection.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from berylchute.answerlimits import AnswerMeter
+from berylchute.answerlimits import AnswerMeter, is_final_status, is_interim_status
 from berylchute.bodymemory import BodyMemory, BodyStage
 from berylchute.callermessages import Header
 from berylchute.exceptions import (
@@ -221,8 +221,11 @@
         """Determine from the headers where the answer ends."""
         if self._is_finished():
             return
-        names = {name.lower(): value for name, value in self._headers}
         status = self._parser.get_status_code()
+        if not is_final_status(status) and not is_interim_status(status):
+            self._fail(AnswerInvalid(f"status {status:03d} is no answer"))
+            return
+        names = {name.lower(): value for name, value in self._headers}
         has_body = status not in (204, 304) and not (self._request and self._request.is_head)
         length = names.get(b"content-length", b"") if has_body else b""
         excess = self._meter.find_excess_length(length)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -99,6 +99,14 @@
         AnswerMatcher(b"a-1.1", b"GET").receive_head(200, [(b"Berylchute-Request-Id", b"a-1.1")])
 
 
+@pytest.mark.parametrize("status", [0, 99, 101, 600, 999])
+def test_status_that_is_no_answer_is_foreign(status: int) -> None:
+    """Guard against a status of no meaning that a caller gets."""
+    own = (b"Berylchute-Request-Id", b"a-1.1")
+    with pytest.raises(AnswerForeign):
+        AnswerMatcher(b"a-1.1", b"GET").receive_head(status, [own, (b"Content-Length", b"0")])
+
+
 def test_a_truncated_body_is_rejected() -> None:
     """Guard against a truncated body that passes as complete."""
     matcher = AnswerMatcher(b"a-1.1", b"GET")
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -224,6 +224,14 @@
     assert harness.run(lambda: harness.connection.data_received(data)).status == 200
 
 
+@pytest.mark.parametrize("status", ["000", "099", "101", "199", "600", "999"])
+def test_status_that_is_no_answer_is_invalid(status: str) -> None:
+    """Guard against a status of no meaning that is waited on or returned."""
+    harness = _ConnectionHarness()
+    data = _answer().replace(b"200", status.encode(), 1)
+    harness.assert_fails(AnswerInvalid, lambda: harness.connection.data_received(data))
+
+
 def test_idle_timeout_follows_the_keep_alive_header() -> None:
     """Guard against requests sent on a connection that the server is closing."""
     harness = _ConnectionHarness()
