callers: read the body of a request that offers another protocol

Cause: the parser ends a message that asks for an upgrade after its head and reports it as complete. The request was passed on before the error that follows was seen.

Change: when the head of such a request announces a body, a parser of its own reads that body by the same framing headers, and the request is passed on when it is whole. Its connection closes after the answer, as before. CONNECT is left as it was, since what follows it is no body.

--- a/berylchute/requestreader.py
+++ b/berylchute/requestreader.py
@@ -28,6 +28,7 @@
 __all__ = ["ReaderSettings", "Refusal", "RequestReader"]
 
 _LINE_ENDS = b"\r\n"
+_FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 # A body below this rate is slow, after a time for its start. A modem of 56 kbit/s is faster.
 SLOW_BYTES_PER_S = 4_096
 SLOW_AFTER_S = 2.0
@@ -63,6 +64,7 @@
         "_expect_lines",
         "_has_begun",
         "_head_bytes",
+        "_is_body_skipped",
         "_length",
         "_lines",
         "_now_s",
@@ -110,6 +112,7 @@
         self._head_bytes = self._length = self._expect_lines = 0
         self._outside_bytes = self._quiet_bytes = 0
         self._trailer_bytes = self._trailer_lines = 0
+        self._is_body_skipped = False
 
     def feed(self, data: bytes, now_s: float) -> None:
         """Parse some bytes, at least one; `refusal` is set if they break a limit."""
@@ -131,12 +134,36 @@
         else:
             self._outside_bytes += size_bytes
         try:
-            self._parser.feed_data(data)
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as error:
+                if not self._is_body_skipped:
+                    raise
+                self._parse_skipped_body(data[error.args[0] :])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._refuse(HTTPStatus.BAD_REQUEST, Cause.MALFORMED)
         if self._has_begun:
             self._check_incomplete(size_bytes)
 
+    def _parse_skipped_body(self, data: bytes) -> None:
+        """Parse the body of a request that offers another protocol, which is not accepted.
+
+        The parser ends such a request after its head. Another one gets a head that frames the same
+        body, and reads nothing after it.
+        """
+        self._is_body_skipped = False
+        framing = (
+            b"%b: %b\r\n" % header
+            for header in self._lines.to_list()
+            if header[0].lower() in _FRAMING_HEADERS
+        )
+        head = b"%b / HTTP/1.1\r\nConnection: close\r\n%b\r\n"
+        method = self._parser.get_method()
+        self._parser = httptools.HttpRequestParser(_BodyCallbacks(self))
+        self._parser.feed_data(head % (method, b"".join(framing)))
+        if data:
+            self._parser.feed_data(data)
+
     def _skip_blank(self, data: bytes) -> bytes:
         rest = data.lstrip(_LINE_ENDS)
         self._blank_bytes += len(data) - len(rest)
@@ -295,6 +322,9 @@
 
     def on_message_complete(self) -> None:
         """Pass the complete request on, and hold nothing of it on an idle connection."""
+        if self._parser.should_upgrade() and self._has_framed_body():
+            self._is_body_skipped = True
+            return
         if self._body:
             self._check_body()
         self.started_s = None
@@ -303,3 +333,18 @@
         if self.refusal is None:
             self._on_request()
         self._reset()
+
+    def _has_framed_body(self) -> bool:
+        """Return whether the head announces a body; what follows CONNECT is none."""
+        if self._parser.get_method() == b"CONNECT":
+            return False
+        names = {name.lower() for name, _ in self._lines.to_list()}
+        return bool(self._length) or b"transfer-encoding" in names
+
+
+class _BodyCallbacks:
+    """The callbacks of a parser that is only to read a body."""
+
+    def __init__(self, reader: RequestReader) -> None:
+        self.on_body = reader.on_body
+        self.on_message_complete = reader.on_message_complete
--- a/tests/test_callerlimits.py
+++ b/tests/test_callerlimits.py
@@ -271,6 +271,42 @@
     assert caller.server.body_memory.held_bytes == 0
 
 
+_OFFER = b"POST / HTTP/1.1\r\nConnection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+_CHUNKS = b"3\r\nabc\r\n5;x=y\r\ndefgh\r\n0\r\nTrailer: t\r\n\r\n"
+
+
+@pytest.mark.parametrize("step", [1, 7, 1_000])
+@pytest.mark.parametrize(
+    "data",
+    [
+        _OFFER + b"Content-Length: 8\r\n\r\nabcdefgh",
+        _OFFER + b"Transfer-Encoding: chunked\r\n\r\n" + _CHUNKS,
+    ],
+)
+def test_body_of_a_request_that_offers_another_protocol_is_read(data: bytes, step: int) -> None:
+    # Guard against uploads that run with an empty body: the parser ends them after their head.
+    caller = _Caller()
+    data += b"GET /next HTTP/1.1\r\n\r\n"
+    for start in range(0, len(data), step):
+        caller.send(data[start : start + step])
+    (pending,) = caller.requests
+    assert (pending.request.method, bytes(pending.request.body)) == (b"POST", b"abcdefgh")
+    pending.respond(CallerAnswer(200))
+    assert caller.transport.written.count(b"HTTP/1.1 ") == 1
+    assert b"Connection: close" in caller.transport.written and caller.transport.is_closed
+    assert caller.server.body_memory.held_bytes == 0
+
+
+@pytest.mark.parametrize("framing", [b"Content-Length: 10", b"Transfer-Encoding: chunked"])
+def test_body_of_an_offer_that_is_cut_is_not_run(framing: bytes) -> None:
+    # Guard against requests that run with a part of their body.
+    caller = _Caller()
+    caller.send(_OFFER + framing + b"\r\n\r\n4\r\nabcd\r\n")
+    assert not caller.requests
+    caller.connection.connection_lost(None)
+    assert not caller.requests and caller.server.body_memory.held_bytes == 0
+
+
 def test_large_body_in_chunks_of_twenty_bytes_is_served() -> None:
     # Guard against a bound on overhead below what legal chunks of a large body need.
     caller = _Caller()
