--- a/berylchute/pagedlisting.py
+++ b/berylchute/pagedlisting.py
@@ -19,20 +19,20 @@
 
     def __init__(self) -> None:
         self._entries: dict[str, Entry] = {}
-        self._first_revision: int | None = None
+        self._known_revision: int | None = None
         self._last_revision = 0
 
     def add_page(self, entries: Mapping[str, Entry], revision: int) -> None:
         """Add the next page."""
         self._entries.update(entries)
-        if self._first_revision is None:
-            self._first_revision = revision
+        if self._known_revision is None:
+            self._known_revision = revision
         self._last_revision = revision
 
     @property
     def revision(self) -> int:
         """Return the revision up to which all changes are known."""
-        return self._first_revision or 0
+        return self._known_revision or 0
 
     @property
     def is_complete(self) -> bool:
@@ -46,7 +46,7 @@
                 self._entries.pop(name, None)
             else:
                 self._entries[name] = entry
-        self._first_revision = max(self.revision, changes.revision)
+        self._known_revision = max(self.revision, changes.revision)
         if not changes.entries:
             self._last_revision = self.revision
 
--- a/tests/test_brokenanswers.py
+++ b/tests/test_brokenanswers.py
@@ -35,7 +35,7 @@
 
     async def run() -> None:
         async with start_world(tmp_path, servers=0, handle=serve) as (edge, _):
-            # Longer than the test takes, so that a 504 is told from an answer at once.
+            # Longer than the test takes: an answer that waits for the time-out would be a 504.
             await edge.configure(2, {}, **{"timeout-s": 8.0})
             await edge.start()
             await edge.wait_ready()
