tenants: use every name and key that a header can hold

Cause: a name or a key of a tenant above 256 characters or with other letters than printable ASCII made the whole configuration malformed.

Change: each tenant is decoded by itself, and what can't be used costs only its own callers (401). If no tenant can be used, the configuration is ignored as before, since callers need no key without organisations. The same cause on related paths: optional fields that are null, whole numbers written as 8.0, and ids, services and zones of servers above 256 characters.

Replaced: test_malformed_tenants_reject_the_whole_manifest and the part of test_keys_change_while_a_connection_is_open on a key of two organisations demanded that the whole configuration be ignored, which is the fault. The new ones are as strict for each case: the key is nobody's, the log holds no key, and in addition the sound tenant and the report are checked. A configuration without any usable tenant must still be ignored.

--- a/berylchute/collection.py
+++ b/berylchute/collection.py
@@ -56,21 +56,27 @@
     """Hold all entries of a collection by name, as of a store revision.
 
     `history` counts how often the store was restored from a copy: it then gives out revisions
-    again. It is None if the store doesn't say.
+    again. It is None if the store doesn't say. `malformed` counts objects that can't be used, or
+    parts of them.
     """
 
     entries: Mapping[str, Entry]
     revision: int
     history: int | None = None
+    malformed: int = 0
 
 
 @attrs.frozen
 class CollectionChanges:
-    """Hold changed entries by name, None for a removed one, up to a store revision."""
+    """Hold changed entries by name, None for a removed one, up to a store revision.
+
+    `malformed` counts objects that can't be used, or parts of them.
+    """
 
     entries: Mapping[str, Entry | None]
     revision: int
     history: int | None = None
+    malformed: int = 0
 
 
 class CollectionStore(ProbedStore, Protocol):
@@ -155,6 +161,7 @@
         self._restored_s = float("-inf")
         self.calls = 0
         self.failures = 0
+        self.malformed = 0
         self.has_answered = False
         self.is_connected = False
         self.last_success_s = float("-inf")
@@ -210,6 +217,7 @@
         if not self._is_current:
             listing = await self._store.read(self._collection.name)
             self._record_success()
+            self.malformed += listing.malformed
             self._apply_listing(listing)
             return
         wait_s = self._watch_wait_s
@@ -220,6 +228,7 @@
         name, after_revision = self._collection.name, self._revision
         changes = await self._store.watch(name, after_revision, wait_s)
         self._record_success()
+        self.malformed += changes.malformed
         if changes.history not in (None, self._history):
             raise HistoryGone(f"the store was restored, history {changes.history}")
         self._apply_changes(changes)
--- a/berylchute/edgemetrics.py
+++ b/berylchute/edgemetrics.py
@@ -22,8 +22,8 @@
     """The state of the edge program when metrics are collected.
 
     `object_ages_s` maps each shared object to the time since this process applied its last change.
-    `store_calls` and `store_failures` count by collection, `region_sends` by service, region of the
-    server and reason why the first server of the key was not selected.
+    `store_calls`, `store_failures` and `store_malformed` count by collection, `region_sends` by
+    service, region of the server and reason why the first server of the key was not selected.
     """
 
     requests_in_flight: int = 0
@@ -35,6 +35,7 @@
     object_ages_s: Mapping[str, float] = attrs.field(factory=dict)
     store_calls: Mapping[str, int] = attrs.field(factory=dict)
     store_failures: Mapping[str, int] = attrs.field(factory=dict)
+    store_malformed: Mapping[str, int] = attrs.field(factory=dict)
     region_sends: Mapping[tuple[str, str, str], int] = attrs.field(factory=dict)
     connections_opened: int = 0
     log_lines_dropped_full: int = 0
@@ -139,7 +140,17 @@
         None,
         ("collection",),
     )
-    for family, counts in ((calls, state.store_calls), (failures, state.store_failures)):
+    malformed = CounterMetricFamily(
+        "berylchute_edge_store_objects_malformed",
+        "Objects of the store, or parts of them, that can't be used, at each time they are read.",
+        None,
+        ("collection",),
+    )
+    for family, counts in (
+        (calls, state.store_calls),
+        (failures, state.store_failures),
+        (malformed, state.store_malformed),
+    ):
         for collection, count in counts.items():
             family.add_metric([collection], count)
     region_sends = CounterMetricFamily(
@@ -153,6 +164,7 @@
     return [
         calls,
         failures,
+        malformed,
         region_sends,
         CounterMetricFamily(
             "berylchute_edge_server_connections",
--- a/berylchute/edgestate.py
+++ b/berylchute/edgestate.py
@@ -67,6 +67,7 @@
             },
             store_calls={reader.name: reader.calls for reader in readers},
             store_failures={reader.name: reader.failures for reader in readers},
+            store_malformed={feed.name: feed.malformed for feed in self._feeds},
             region_sends=self._region_sends.counts,
             connections_opened=self._backends.connections_opened(),
             log_lines_dropped_full=self._log.lines_dropped_buffer_full,
--- a/berylchute/organisations/directory.py
+++ b/berylchute/organisations/directory.py
@@ -14,7 +14,8 @@
 # Six times as many as 80 organisations with two keys use. Only values with a known key are kept, so
 # that callers without one can't displace others.
 CACHED_VALUES_MAX = 1024
-# Spaces around a key may fill a request head. Keys have at most 256 characters.
+# Keys may be as long as a request head. Longer values are hashed at each look-up, which takes
+# microseconds, instead of being kept in memory.
 CACHED_VALUE_BYTES_MAX = 512
 
 
