storeoutages: retain missing entries only after a silence that lets them expire

Cause: a watch that ended within 0.3 s of its begin counted as an outage, and what went missing in the 2.2 s after one was kept as expired. The age of a watch tells nothing: most are young, since servers write all the time.

Change: an entry expires after three ping intervals of silence, so none can have expired while the store has answered any member within 1.5 of them. storeoutages records answers, reports of other members and failed calls of the whole process, and counts the retention from the first answer to anyone.

Ruled out: to treat every end of a watch as a cut. A store that goes down also ends watches, and running servers would be dropped.

--- a/berylchute/collection.py
+++ b/berylchute/collection.py
@@ -9,9 +9,10 @@
 import attrs
 
 from berylchute.backoff import Backoff
-from berylchute.exceptions import HistoryGone, StoreError, WatchCut
-from berylchute.sharedobjects import SharedObject, encode_object
+from berylchute.exceptions import ConfigError, HistoryGone, StoreError, WatchCut
+from berylchute.sharedobjects import SharedObject, decode_object, encode_object
 from berylchute.storecontact import ProbedStore
+from berylchute.storeoutages import EXPIRED_RETENTION_S, StoreOutages
 from berylchute.types import Clock, StoredObject
 
 __all__ = [
@@ -39,8 +40,6 @@
 FIRST_READ_DELAY_RANGE_S = (1.0, 3.0)
 # Period of the check whether another member has published the collection during a first start.
 FIRST_START_CHECK_PERIOD_S = 0.1
-# Servers whose entries expired during a store outage register again within about 2 s.
-EXPIRED_RETENTION_S = 2.2
 # Each store revision has this many object versions: the first for the complete value, the others
 # for values that retain expired entries.
 VERSIONS_PER_REVISION = 4096
@@ -98,8 +97,9 @@
 class Collection:
     """Describe a collection, the key of its object and how to build the object from its entries.
 
-    `combine` returns None if nothing is to be published. `entries_may_expire` is set if
-    entries expire during a store outage although the servers that they describe are still running.
+    `combine` returns None if nothing is to be published, `split` returns the entries of an object.
+    `entries_may_expire` is set if entries expire during a store outage although the servers that
+    they describe are still running.
     `is_older` returns whether an entry, the first argument, is an older one than another of the
     same name; a store that was restored may list such entries.
     """
@@ -109,6 +109,7 @@
     combine: Callable[[Mapping[str, Entry]], SharedObject | None]
     entries_may_expire: bool = False
     is_older: Callable[[Entry, Entry], bool] = lambda entry, other: False
+    split: Callable[[SharedObject], Mapping[str, Entry]] | None = None
 
 
 def choose_first_read_delay_s(rng: Random, *, is_first_start: bool, is_seed: bool) -> float:
@@ -124,8 +125,8 @@
 
     `publish` is called with each new object. A watch waits up to `watch_wait_s`, which bounds the
     time until one on a dead connection is detected. The collection is not read at the start if
-    another member publishes it within `first_read_delay_s`; `known_version` returns the version of
-    an object that this process has, by its key, or 0.
+    another member publishes it within `first_read_delay_s`; `known_object` returns the object that
+    this process has, by its key. `outages` is shared with all that calls the store.
     """
 
     def __init__(
@@ -137,8 +138,9 @@
         publish: Callable[[StoredObject], None],
         is_wanted: Callable[[], bool],
         watch_wait_s: float,
-        known_version: Callable[[str], int] = lambda key: 0,
+        known_object: Callable[[str], StoredObject | None] = lambda key: None,
         first_read_delay_s: float = 0.0,
+        outages: StoreOutages | None = None,
     ) -> None:
         self._collection = collection
         self._store = store
@@ -146,8 +148,9 @@
         self._publish = publish
         self._is_wanted = is_wanted
         self._watch_wait_s = watch_wait_s
-        self._known_version = known_version
+        self._known_object = known_object
         self._first_read_delay_s = first_read_delay_s
+        self._outages = outages or StoreOutages()
         self._backoff = Backoff(RETRY_FIRST_S, RETRY_MAX_S, rng)
         self._entries: dict[str, Entry] = {}
         self._expired: dict[str, Entry] = {}
@@ -157,7 +160,6 @@
         self._provisional_count = 0
         self._is_current = False
         self._is_unreachable = False
-        self._recovered_s = float("-inf")
         self._restored_s = float("-inf")
         self.calls = 0
         self.failures = 0
@@ -184,6 +186,7 @@
             try:
                 await self._read_or_watch()
             except HistoryGone as error:
+                self._outages.record_answer(self._clock.now_s())
                 _LOG.info(
                     "store history of %s lost, reading all entries: %s",
                     self._collection.name,
@@ -210,7 +213,7 @@
             await anyio.sleep(FIRST_START_CHECK_PERIOD_S)
 
     def _can_leave_to_members(self) -> bool:
-        is_known = self.has_answered or self._known_version(self._collection.object_key) > 0
+        is_known = self.has_answered or self._known_object(self._collection.object_key) is not None
         return is_known and not self._is_wanted()
 
     async def _read_or_watch(self) -> None:
@@ -222,9 +225,7 @@
             return
         wait_s = self._watch_wait_s
         if self._expired:
-            wait_s = min(
-                wait_s, max(0.05, self._recovered_s + EXPIRED_RETENTION_S - self._clock.now_s())
-            )
+            wait_s = min(wait_s, max(0.05, self._retain_until_s - self._clock.now_s()))
         name, after_revision = self._collection.name, self._revision
         changes = await self._store.watch(name, after_revision, wait_s)
         self._record_success()
@@ -247,9 +248,9 @@
                 self._history,
                 EXPIRED_RETENTION_S,
             )
-            self._recovered_s = self._restored_s = self._clock.now_s()
+            self._restored_s = self._clock.now_s()
         self._history = history
-        before, self._entries = self._entries, dict(listing.entries)
+        before, self._entries = self._known_entries(), dict(listing.entries)
         for name, entry in before.items():
             if name in self._entries and self._collection.is_older(self._entries[name], entry):
                 self._entries[name] = entry
@@ -270,19 +271,35 @@
                 removed[name] = self._entries.pop(name)
         self._retain_expired(removed)
         had_expired = bool(self._expired)
-        if had_expired and self._clock.now_s() - self._recovered_s >= EXPIRED_RETENTION_S:
+        if had_expired and self._clock.now_s() >= self._retain_until_s:
             self._expired.clear()
         self._revision = max(self._revision, changes.revision)
         if changes.entries or had_expired != bool(self._expired):
             self._publish_entries()
 
-    def _retain_expired(self, removed: Mapping[str, Entry]) -> None:
-        """Retain entries that are missing after an outage until they can be written again.
+    def _known_entries(self) -> Mapping[str, Entry]:
+        """Return the entries in force: other members may have watched since the last call here."""
+        known = self._known_object(self._collection.object_key)
+        if self._collection.split is None or known is None:
+            return self._entries
+        try:
+            return self._collection.split(decode_object(known.key, known.value))
+        except ConfigError:
+            return self._entries
+
+    @property
+    def _retain_until_s(self) -> float:
+        """Return until when missing entries are retained, so that they can be written again.
 
-        They expired meanwhile, or a restored store lacks them.
+        They expired in an outage, or a restored store lacks them.
         """
-        since_s = self._recovered_s if self._collection.entries_may_expire else self._restored_s
-        if self._clock.now_s() - since_s < EXPIRED_RETENTION_S:
+        restored_until_s = self._restored_s + EXPIRED_RETENTION_S
+        if not self._collection.entries_may_expire:
+            return restored_until_s
+        return max(restored_until_s, self._outages.retain_until_s)
+
+    def _retain_expired(self, removed: Mapping[str, Entry]) -> None:
+        if self._clock.now_s() < self._retain_until_s:
             self._expired.update(removed)
 
     def _publish_entries(self) -> None:
@@ -302,9 +319,9 @@
 
     def _record_success(self) -> None:
         now_s = self._clock.now_s()
+        self._outages.record_answer(now_s)
         if self._is_unreachable:
             self._is_unreachable = False
-            self._recovered_s = now_s
             _LOG.info("store reachable again for %s", self._collection.name)
         self._backoff.reset()
         self.has_answered = True
@@ -312,6 +329,7 @@
         self.last_success_s = now_s
 
     def _record_failure(self, error: StoreError) -> None:
+        self._outages.record_failure(self._clock.now_s())
         if not self._is_unreachable:
             _LOG.warning(
                 "store unreachable for %s, keeping the last entries and retrying: %s",
--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -73,11 +73,11 @@
         """Compose the parts; `read_settings` reloads the settings or raises SettingsError."""
         self._settings = settings
         self._read_settings = read_settings
-        self._clock = BootClock()
+        clock = self._clock = BootClock()
         self._rng = Random()
         host = settings.node.host.host_id
         self._log = EventLog(1, host)
-        self._store_contact = StoreContact(self._clock, settings.change_apply_s)
+        self._store_contact = StoreContact(clock, settings.change_apply_s, settings.ping_period_s)
         self._node = Node(
             settings.node,
             "edge",
@@ -135,8 +135,9 @@
                 self._receive_object,
                 watch_selector.should_watch,
                 self._store_contact.watch_wait_s,
-                self._node.objects.version,
+                self._node.objects.get,
                 first_read_delay_s,
+                self._store_contact.outages,
             )
             for collection in collections
         ]
--- a/berylchute/edgesettings.py
+++ b/berylchute/edgesettings.py
@@ -11,6 +11,7 @@
 from berylchute.retrybudget import RetryBounds
 from berylchute.settings import Settings
 from berylchute.storecontact import CHANGE_APPLY_DEFAULT_S
+from berylchute.storeoutages import PING_PERIOD_DEFAULT_S
 
 __all__ = ["EdgeSettings"]
 
@@ -22,7 +23,8 @@
     `zone_regions` maps availability zones to regions. `grace_s` is the time from the stop signal
     to the kill, `directory_ttl_s` the time for which callers hold an answer of the directory,
     `change_apply_s` the time from the store's acknowledgement of a change until all
-    members must follow it. `is_first_start` is set while all hosts start for the first time, before
+    members must follow it, `ping_period_s` the time between two writes of a server's entry.
+    `is_first_start` is set while all hosts start for the first time, before
     there are callers. `admission_by_rank` lets the rank of requests decide which are served
     while servers are short of room. `metrics_address` is `ip:port`; metrics are not served if it is
     empty. `max_fds` is the number of descriptors that the process may have open, with files,
@@ -36,6 +38,7 @@
     metrics_address: str = ""
     header_names: HeaderNames = HeaderNames()
     change_apply_s: float = CHANGE_APPLY_DEFAULT_S
+    ping_period_s: float = PING_PERIOD_DEFAULT_S
     is_first_start: bool = False
     admission_by_rank: bool = False
     request_limits: RequestLimits = RequestLimits()
--- a/berylchute/storecontact.py
+++ b/berylchute/storecontact.py
@@ -6,6 +6,7 @@
 import anyio
 
 from berylchute.exceptions import StoreError
+from berylchute.storeoutages import PING_PERIOD_DEFAULT_S, StoreOutages
 from berylchute.types import Clock
 
 __all__ = ["CHANGE_APPLY_DEFAULT_S", "ProbedStore", "StoreContact", "StoreProbe"]
@@ -27,9 +28,16 @@
     like one without changes, so members report ages; a flag would hold until withdrawn.
     """
 
-    def __init__(self, clock: Clock, change_apply_s: float) -> None:
-        """Create a contact without an answer; changes must be in force in `change_apply_s`."""
+    def __init__(
+        self, clock: Clock, change_apply_s: float, ping_period_s: float = PING_PERIOD_DEFAULT_S
+    ) -> None:
+        """Create a contact without an answer.
+
+        Changes must be in force in `change_apply_s`; servers write their entries every
+        `ping_period_s`.
+        """
         self._clock = clock
+        self.outages = StoreOutages(ping_period_s)
         change_apply_s = max(CHANGE_APPLY_MIN_S, change_apply_s)
         self._own_answer_s = self._last_answer_s = float("-inf")
         self._silence_max_s = SILENCE_MAX_RATIO * change_apply_s
@@ -50,11 +58,13 @@
         """Record an answer of the store to a call that this process began at `asked_s`."""
         self._own_answer_s = max(self._own_answer_s, asked_s)
         self._last_answer_s = max(self._last_answer_s, asked_s)
+        self.outages.record_answer(self._clock.now_s())
 
     def record_report(self, age_s: float) -> None:
         """Record another member's report that the store answered it `age_s` ago."""
         answered_s = self._clock.now_s() - max(0.0, age_s)
         self._last_answer_s = max(self._last_answer_s, answered_s)
+        self.outages.record_answer(answered_s)
 
 
 class ProbedStore(Protocol):
@@ -104,6 +114,7 @@
         except StoreError:
             # The watches log an outage, and the published record withdraws `watching`.
             self.failures += 1
+            self._contact.outages.record_failure(self._clock.now_s())
             return
         self._contact.record_answer(asked_s)
         self._report(self._clock.now_s() - asked_s)
--- a/tests/test_collection.py
+++ b/tests/test_collection.py
@@ -8,7 +8,6 @@
 import pytest
 
 from berylchute.collection import (
-    EXPIRED_RETENTION_S,
     VERSIONS_PER_REVISION,
     Collection,
     CollectionChanges,
@@ -16,7 +15,15 @@
     CollectionListing,
 )
 from berylchute.exceptions import HistoryGone, StoreUnavailable, WatchCut
-from berylchute.sharedobjects import CallerLimits, RouteTable, ZoneDrains, decode_object
+from berylchute.sharedobjects import (
+    CallerLimits,
+    RouteTable,
+    SharedObject,
+    ZoneDrains,
+    decode_object,
+    encode_object,
+)
+from berylchute.storeoutages import EXPIRED_RETENTION_S, StoreOutages
 from berylchute.types import StoredObject
 from berylchute_platform.documents import is_older_table, make_routes
 from tests.httpfakes import ManualClock
@@ -63,11 +70,20 @@
     return ZoneDrains(tuple(sorted(entries)))
 
 
-SERVERS = Collection("servers", "zone_drains", _names, entries_may_expire=True)
+def _entries(value: SharedObject) -> Mapping[str, object]:
+    assert isinstance(value, ZoneDrains)
+    return {name: name for name in value.availability_zones}
+
+
+SERVERS = Collection("servers", "zone_drains", _names, entries_may_expire=True, split=_entries)
+PING_PERIOD_S = 1.5
 
 
 def _run_feed(
-    *steps: tuple[float, Step], collection: Collection = SERVERS
+    *steps: tuple[float, Step],
+    collection: Collection = SERVERS,
+    known: StoredObject | None = None,
+    ping_period_s: float = PING_PERIOD_S,
 ) -> tuple[list[StoredObject], _Store, CollectionFeed]:
     clock = ManualClock()
     store = _Store(clock, list(steps))
@@ -80,6 +96,8 @@
         published.append,
         lambda: True,
         watch_wait_s=4.0,
+        known_object=lambda key: known,
+        outages=StoreOutages(ping_period_s),
     )
 
     async def main() -> None:
@@ -150,6 +168,53 @@
     assert feed.is_connected
 
 
+@pytest.mark.parametrize("cut_s", [0.0, 0.05, 0.29, 0.31, 1.4])
+@pytest.mark.parametrize("cuts", [1, 3])
+def test_entries_removed_after_a_young_watch_was_cut_are_not_retained(
+    cut_s: float, cuts: int
+) -> None:
+    # Guard against requests to a server for longer than it may get them: a watch that was cut soon
+    # after its begin looks like a store that can't be reached, but no entry expires that soon.
+    published, _, _ = _run_feed(
+        (0, _listing_of_both(5)),
+        *([(cut_s / cuts, StoreUnavailable("cut"))] * cuts),
+        (0.05, CollectionChanges({"b": None}, 6)),
+    )
+    assert published[-1].value == b'{"availability_zones":["a"]}'
+
+
+@pytest.mark.parametrize(
+    ("ping_period_s", "silence_s", "is_retained"),
+    [(1.5, 2.0, False), (1.5, 2.4, True), (3.0, 2.4, False), (3.0, 5.0, True)],
+)
+def test_silence_that_lets_entries_expire_follows_the_ping_period(
+    ping_period_s: float, silence_s: float, is_retained: bool
+) -> None:
+    # Guard against a constant that stands for a setting of the platform.
+    published, _, _ = _run_feed(
+        (0, _listing_of_both(5)),
+        (0, StoreUnavailable("down")),
+        (silence_s, CollectionChanges({"b": None}, 6)),
+        ping_period_s=ping_period_s,
+    )
+    assert (b'"b"' in published[-1].value) is is_retained
+
+
+def test_entries_removed_while_others_watched_are_not_retained() -> None:
+    # Guard against requests to servers that left long ago, from a process that watched once, left
+    # it to other members, and reads the list again after an outage.
+    known = StoredObject("zone_drains", 2**30, encode_object(ZoneDrains(("a", "c"))))
+    published, _, _ = _run_feed(
+        (0, _listing_of_both(5)),
+        (0, StoreUnavailable("down")),
+        (8.0, HistoryGone("x")),
+        (0, CollectionListing({"a": "a"}, 9)),
+        known=known,
+    )
+    # c is in force among the members and may have expired, b was removed before.
+    assert published[-1].value == b'{"availability_zones":["a","c"]}'
+
+
 def test_entry_that_was_registered_again_is_not_dropped() -> None:
     """Guard against dropping a server that registered again when the retention time ends."""
     published, _, _ = _run_feed(
--- a/tests/watchfleet.py
+++ b/tests/watchfleet.py
@@ -125,7 +125,7 @@
                 name, contact, membership, self._clock, is_first_start=is_first_start
             ).should_watch,
             contact.watch_wait_s,
-            self.replication.objects.version,
+            self.replication.objects.get,
             choose_first_read_delay_s(
                 Random(name), is_first_start=is_first_start, is_seed=name in seeds
             ),
