fleetrecord: hosts that hear of nobody use only what a record allows

Cause: a process that hears of nobody is the only candidate for the owner of each bucket, assumes one member in each other zone, and grants half of a sixth of the rate, whatever the number of such processes.

Change: a process that has joined nobody and knows no record of the fleet has no part of an allotment, since any part could be too much for all of them. Where allotments are in force (contract `quota`), one member keeps the ids, regions and capacities of all hosts in the store, and a process that starts counts those that it hasn't heard of: half of its part while it hears of nobody, and the part of its own side in a partition. A record counts only as it was read. Other deployments make no further calls.

Ruled out: parts by the number of seeds heard of, or by a fixed size of the fleet (docs/design/allotments.md, fleet-record.md): the first costs a third of the rate after ordinary restarts, the second breaks for larger fleets.

--- a/berylchute/edge.py
+++ b/berylchute/edge.py
@@ -29,6 +29,7 @@
 from berylchute.edgestate import EdgeStateReader
 from berylchute.eventlog import EventLog
 from berylchute.exceptions import ConfigError, ListenError, SettingsError, first_error
+from berylchute.fleetrecord import RecordStore
 from berylchute.gracefulstop import stop_gracefully
 from berylchute.memberlog import MemberLog
 from berylchute.membership import MembershipTiming
@@ -69,6 +70,7 @@
         store: CollectionStore,
         collections: Sequence[Collection],
         read_settings: Callable[[], EdgeSettings],
+        record_store: RecordStore | None = None,
     ) -> None:
         """Compose the parts; `read_settings` reloads the settings or raises SettingsError."""
         self._settings = settings
@@ -123,7 +125,7 @@
             is_seed=settings.node.listen.peers in settings.node.peers.seeds,
         )
         self._allotment_messages = AllotmentMessages(
-            self._node, self._discovery, self._log, self._metrics.allotments
+            self._node, self._discovery, self._log, self._metrics.allotments, record_store
         )
         self._allotments = self._allotment_messages.allotments
         self._feeds = [
@@ -166,10 +168,8 @@
             self._log,
         )
         self._caller_servers = {settings.node.listen.http: self._caller_server}
-        self._signalled = anyio.Event()
-        self._stop_requested = anyio.Event()
-        self._is_stopping = False
-        self._published_ready = False
+        self._signalled, self._stop_requested = anyio.Event(), anyio.Event()
+        self._is_stopping = self._published_ready = False
         self._metrics.read_state = EdgeStateReader(
             node=self._node,
             routes=self._routes,
--- a/berylchute/edgesettings.py
+++ b/berylchute/edgesettings.py
@@ -29,6 +29,8 @@
     while servers are short of room. `metrics_address` is `ip:port`; metrics are not served if it is
     empty. `max_fds` is the number of descriptors that the process may have open, with files,
     `store_value_bytes_max` the size of the largest object that the store accepts.
+    `keeps_fleet_record` lets the members keep a record of all hosts in the store, so that bounds
+    that hosts share hold while they can't reach each other.
     """
 
     node: Settings
@@ -45,3 +47,4 @@
     max_fds: int = MAX_FDS_DEFAULT
     directory_ttl_s: float = DIRECTORY_TTL_DEFAULT_S
     store_value_bytes_max: int = STORE_VALUE_BYTES_MAX
+    keeps_fleet_record: bool = False
--- a/soak/standins.py
+++ b/soak/standins.py
@@ -9,7 +9,13 @@
 
 import attrs
 
-from berylchute.callers import CallerAnswer, CallerServer, Header, PendingRequest
+from berylchute.callers import (
+    CallerAnswer,
+    CallerRequest,
+    CallerServer,
+    Header,
+    PendingRequest,
+)
 from berylchute.node import MonotonicClock
 from soak import wire
 from soak.faults import OverlappingFaults
@@ -122,6 +128,10 @@
         if "down" in self.faults:
             pending.respond(self._answer(503))
             return
+        write = wire.StoreWrite.from_request(pending.request)
+        if write is not None or wire.is_object_path(pending.request):
+            pending.respond(await self._answer_object(pending.request, write))
+            return
         query = wire.StoreQuery.from_request(pending.request)
         if query.watch_revision is None:
             items = list(self.objects.get(query.collection, {}).values())
@@ -135,6 +145,20 @@
             body = wire.encode_watch(changes, max(query.watch_revision, self.revision))
             pending.respond(self._answer(200, body))
 
+    async def _answer_object(
+        self, request: CallerRequest, write: wire.StoreWrite | None
+    ) -> CallerAnswer:
+        """Answer a call for a single object: a read, or a write of one revision."""
+        kind, name = (write.kind, write.name) if write else wire.object_path(request)
+        item = self.objects.get(kind, {}).get(name)
+        if write is not None:
+            revision = item["metadata"]["revision"] if item else 0
+            if write.revision != revision:
+                return self._answer(409, wire.encode_object(item or {}))
+            await self.put(kind, name, write.spec)
+            item = self.objects[kind][name]
+        return self._answer(200, wire.encode_object(item)) if item else self._answer(404)
+
     async def _wait_for_changes(
         self, query: wire.StoreQuery, watch_revision: int
     ) -> list[tuple[Mapping[str, Any], bool]]:
--- a/soak/wire.py
+++ b/soak/wire.py
@@ -11,23 +11,29 @@
 from berylchute.callers import CallerRequest, Header
 from berylchute.headernames import HeaderNames
 from berylchute_platform.headers import HEADER_NAMES, STORE_ERA
+from berylchute_platform.records import RECORD_KIND, RECORD_NAME
 from berylchute_platform.settings import SETTINGS_VARIABLE
 
 __all__ = [
+    "FLEET_RECORD_KEY",
     "ROUTES_KEY",
     "SERVERS_COLLECTION",
     "UNFILTERED_HEADER_NAMES",
     "ZONE_DRAINS_COLLECTION",
     "EdgeAddresses",
     "StoreQuery",
+    "StoreWrite",
     "caller_headers",
     "directory_url",
     "encode_list",
+    "encode_object",
     "encode_watch",
     "expected_server",
     "find_header",
     "has_api_key",
+    "is_object_path",
     "make_object",
+    "object_path",
     "organisation",
     "parse_addresses",
     "response_headers",
@@ -45,6 +51,7 @@
     request_id=HEADER_NAMES.request_id, deadline_ms=b"-", expected_server=b"-"
 )
 # Collections of the store; the configuration is the only object of its collection.
+FLEET_RECORD_KEY = (RECORD_KIND, RECORD_NAME)
 ROUTES_KEY = ("config", "main")
 SERVERS_COLLECTION = "servers"
 ZONE_DRAINS_COLLECTION = "evacuations"
@@ -73,6 +80,42 @@
         return cls(request.path.rpartition("/")[2], watch_revision, wait_s)
 
 
+@attrs.frozen
+class StoreWrite:
+    """A write of a single object; `revision` is 0 if it must not exist."""
+
+    kind: str
+    name: str
+    revision: int
+    spec: Any
+
+    @classmethod
+    def from_request(cls, request: CallerRequest) -> "StoreWrite | None":
+        """Parse a request, None if it is no write."""
+        if request.method not in (b"POST", b"PUT"):
+            return None
+        body = msgspec.json.decode(bytes(request.body))
+        kind = request.path.split("/")[3]
+        metadata = body["metadata"]
+        return cls(kind, metadata["name"], metadata.get("revision", 0), body["spec"])
+
+
+def object_path(request: CallerRequest) -> tuple[str, str]:
+    """Return the kind and the name in the path of a single object."""
+    _, _, _, kind, name = request.path.split("/")
+    return kind, name
+
+
+def is_object_path(request: CallerRequest) -> bool:
+    """Return whether a path names a single object."""
+    return request.path.count("/") == 4
+
+
+def encode_object(item: Mapping[str, Any]) -> bytes:
+    """Encode the body of an answer with a single object."""
+    return msgspec.json.encode(item)
+
+
 def store_headers(era: int) -> tuple[Header, ...]:
     """Return the headers of a store's answer; `era` counts its restores from 1."""
     return ((b"Content-Type", b"application/json"), (STORE_ERA, b"%d" % era))
--- a/tests/allotmentfleet.py
+++ b/tests/allotmentfleet.py
@@ -96,7 +96,11 @@
     """
 
     def __init__(
-        self, organisations: Sequence[Organisation], seed: int, weak_per_zone: int
+        self,
+        organisations: Sequence[Organisation],
+        seed: int,
+        weak_per_zone: int,
+        strong_per_zone: int = 2,
     ) -> None:
         self.clock = LoopClock()
         self.rng = Random(seed)
@@ -109,6 +113,8 @@
         # Pairs of host names whose messages are lost, and those that also hear nothing by others.
         self.cut_links: set[tuple[str, str]] = set()
         self.sides: dict[str, int] = {}
+        # Whether hosts that start read a record of all hosts from the store.
+        self.has_record = False
         self.sends: dict[str, list[float]] = {}
         self.refused: dict[str, int] = {}
         self.offered: dict[str, int] = {}
@@ -117,8 +123,8 @@
         self._errors: list[BaseException] = []
         self.hosts: dict[str, FleetHost] = {}
         for zone in ZONE_REGIONS:
-            for number in range(2 + weak_per_zone):
-                capacity = STRONG if number < 2 else WEAK
+            for number in range(strong_per_zone + weak_per_zone):
+                capacity = STRONG if number < strong_per_zone else WEAK
                 name = f"{zone}{number}"
                 self.hosts[name] = FleetHost(self, name, zone, capacity)
         for host in self.hosts.values():
@@ -172,6 +178,11 @@
         old.is_alive = False
         fresh = FleetHost(self, name, old.zone, old.record.capacity)
         fresh.heard_s = {name: self.now_s()}
+        if self.has_record:
+            fresh.discovery.set_recorded(
+                {other: host.record.region for other, host in self.hosts.items()},
+                {other: host.record.capacity for other, host in self.hosts.items()},
+            )
         self.hosts[name] = fresh
 
     def leave(self, name: str) -> None:
@@ -202,6 +213,11 @@
         """Cut some hosts off from the others, which may be of the same zones."""
         self.sides = {name: int(name in names) for name in self.hosts}
 
+    def cut_off_singly(self, names: Collection[str]) -> None:
+        """Cut each of some hosts off from all others."""
+        self.sides = {name: number for number, name in enumerate(sorted(names), 1)}
+        self.sides.update({name: 0 for name in self.hosts if name not in names})
+
     def heal(self) -> None:
         self.sides = {}
         self.cut_links.clear()
--- a/tests/edgeprocess.py
+++ b/tests/edgeprocess.py
@@ -35,6 +35,8 @@
     startup_code: str = ""
     store: StoreStandIn | None = None
     grace_s: float = GRACE_S
+    seeds: Sequence[str] = ()
+    contracts: str = ""
     process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
@@ -58,8 +60,9 @@
         """Write the settings file anew and return its path."""
         settings = self.folder / "settings.conf"
         text = wire.settings_text(
-            "edge-1", "za", self.addresses, [], self.store_address, grace_s=self.grace_s
+            "edge-1", "za", self.addresses, self.seeds, self.store_address, grace_s=self.grace_s
         )
+        text += f"contracts={self.contracts}\n"
         text += f"limits.memory-mb={self.memory_mb:g}\n"
         if self.max_fds is not None:
             text += f"limits.max-fds={self.max_fds}\n"
--- a/tests/test_allotmentfleet.py
+++ b/tests/test_allotmentfleet.py
@@ -24,12 +24,14 @@
 Play = Callable[[AllotmentFleet], Awaitable[None]]
 
 
-def play(organisations: list[Organisation], seed: int, main: Play) -> AllotmentFleet:
+def play(
+    organisations: list[Organisation], seed: int, main: Play, strong_per_zone: int = 2
+) -> AllotmentFleet:
     """Run `main` with a fleet whose buckets are full, and return the fleet."""
     fleets = []
 
     async def run() -> None:
-        fleet = AllotmentFleet(organisations, seed, weak_per_zone=1)
+        fleet = AllotmentFleet(organisations, seed, 1, strong_per_zone)
         fleets.append(fleet)
         await fleet.start()
         await main(fleet)
@@ -299,3 +301,69 @@
     fleet = play([organisation], 1, main)
     assert fleet.sends["o"]
     assert most_used_ratio(fleet.sends["o"], organisation) <= 1.0
+
+
+@pytest.mark.parametrize("rate_per_s", [24.0, 430.0])
+@pytest.mark.parametrize("has_record", [False, True])
+@pytest.mark.parametrize("step", [1, 3])
+def test_no_window_is_exceeded_when_hosts_restart_cut_off_singly(
+    rate_per_s: float, has_record: bool, step: int
+) -> None:
+    # Guard against hosts that hear of nobody after a restart, as with all seeds down, and take
+    # themselves for the owner of the whole rate, each of them.
+    organisation = Organisation("o", rate_per_s, rate_per_s)
+
+    async def main(fleet: AllotmentFleet) -> None:
+        fleet.has_record = has_record
+        fleet.demand("o", rate_per_s * (5.0 if rate_per_s < 100.0 else 2.0), 18.0)
+        await asyncio.sleep(2.0)
+        names = sorted(fleet.hosts)
+        fleet.cut_off_singly(names[::step])
+        for name in list(fleet.hosts):
+            fleet.restart(name)
+        await asyncio.sleep(16.0)
+
+    # Five hosts a zone: the parts of two were small enough, whoever they took themselves for.
+    fleet = play([organisation], 1, main, strong_per_zone=5)
+    assert fleet.sends["o"]
+    assert most_used_ratio(fleet.sends["o"], organisation) <= 1.0
+
+
+def test_hosts_that_know_of_nobody_use_their_parts_of_the_record() -> None:
+    # Guard against organisations that get nothing while all seeds are down, though a record in the
+    # store names the hosts that share their rates.
+    organisation = Organisation("o", 430.0, 430.0)
+
+    async def main(fleet: AllotmentFleet) -> None:
+        fleet.has_record = True
+        fleet.demand("o", 860.0, 14.0)
+        fleet.cut_off_singly(list(fleet.hosts))
+        for name in list(fleet.hosts):
+            fleet.restart(name)
+        await asyncio.sleep(14.0)
+
+    fleet = play([organisation], 1, main)
+    # Half of the parts, since other hosts may be missing in the record.
+    assert len(fleet.sends["o"]) >= 0.4 * 430.0 * 12.0
+
+
+@pytest.mark.parametrize("rate_per_s", [24.0, 430.0])
+def test_no_window_is_exceeded_in_a_partition_within_zones_with_a_record(
+    rate_per_s: float,
+) -> None:
+    # Guard against sides of a partition that take themselves for all members of their zones,
+    # though the store tells them of the others.
+    organisation = Organisation("o", rate_per_s, rate_per_s)
+
+    async def main(fleet: AllotmentFleet) -> None:
+        fleet.has_record = True
+        fleet.demand("o", rate_per_s * (5.0 if rate_per_s < 100.0 else 2.0), 18.0)
+        await asyncio.sleep(2.0)
+        fleet.split_hosts([name for name in fleet.strong_names if name.endswith("0")])
+        for name in list(fleet.hosts):
+            fleet.restart(name)
+        await asyncio.sleep(16.0)
+
+    fleet = play([organisation], 1, main)
+    assert fleet.sends["o"]
+    assert most_used_ratio(fleet.sends["o"], organisation) <= 1.0
--- a/tests/test_allotmentprocess.py
+++ b/tests/test_allotmentprocess.py
@@ -1,8 +1,11 @@
 """Check an organisation's allotment at the edge program as a process."""
 
 import asyncio
+import socket
 from pathlib import Path
 
+import pytest
+
 from soak import wire
 from tests.edgeprocess import EdgeProcess, start_world
 
@@ -68,3 +71,40 @@
                 assert (await _get(number, *connection))[0] == 200
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("recorded", [0, 4])
+def test_process_whose_seeds_are_down_uses_its_part_of_the_record_only(
+    recorded: int, tmp_path: Path
+) -> None:
+    # Guard against processes whose seeds are down and that each grant a part of a rate which is too
+    # much for all of them, and against organisations that get nothing though the store names the
+    # hosts that share their rate.
+    rate_per_s, seconds = 40, 4.0
+
+    async def main() -> None:
+        async with start_world(tmp_path) as (edge, _):
+            await _configure(edge, 2, **{"rate-per-s": rate_per_s, "burst": rate_per_s})
+            assert edge.store is not None
+            hosts = {f"edge-{n}": {"region": "ra", "capacity": 1.0} for n in range(1, recorded + 1)}
+            if hosts:
+                await edge.store.put(*wire.FLEET_RECORD_KEY, {"hosts": hosts})
+            with socket.socket() as silent:
+                silent.bind(("127.0.0.1", 0))
+                edge.seeds = [f"127.0.0.1:{silent.getsockname()[1]}"]
+                edge.contracts = "base,tenants,quota"
+                await edge.start()
+                await edge.wait_ready()
+                connection = await edge.connect()
+                served, number = 0, 0
+                async with asyncio.timeout(20.0):
+                    while number < rate_per_s * seconds:
+                        number += 1
+                        served += (await _get(number, *connection))[0] == 200
+                        await asyncio.sleep(seconds / (rate_per_s * seconds))
+            if recorded:
+                assert 0 < served <= rate_per_s * (seconds + 1.0) / recorded
+            else:
+                assert served == 0
+
+    asyncio.run(main())
--- a/tests/test_assignments.py
+++ b/tests/test_assignments.py
@@ -164,6 +164,15 @@
     assert len(fleet.senders("i-1", lambda _: everyone, region="rd")) == 1
 
 
+def test_region_that_the_record_says_has_no_hosts_has_a_sender() -> None:
+    # Guard against a cold server without requests where the settings name a region without hosts,
+    # though the record in the store tells which regions have some.
+    fleet = _ColdSenders({"zd": "rd"})
+    everyone = fleet.statuses()
+    fleet.discovery.set_recorded({s.record.host_id: s.record.region for s in everyone}, {})
+    assert len(fleet.senders("i-1", lambda _: everyone, region="rd")) == 1
+
+
 def test_members_of_a_region_cut_off_singly_exceed_no_cold_rate() -> None:
     # Guard against a sender on each side when members of a region seem to be gone to one another.
     fleet = _ColdSenders()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -39,3 +39,26 @@
     ]
     assert not discovery.assumed_regions(members)
     assert discovery.count_members(members) == 3
+
+
+def test_recorded_hosts_are_assumed_until_they_are_heard_of() -> None:
+    # Guard against bounds divided among the few members that are heard of after a restart.
+    discovery = MemberDiscovery(ManualClock(), ZONE_REGIONS)
+    assert discovery.is_fleet_unknown
+    members = [member("m1", "za", "ra")]
+    assert discovery.count_members(members) == 3
+    discovery.set_recorded({"m1": "ra", "m2": "ra", "m9": "rc"}, {"m1": 1.0, "m2": 2.0, "m9": 4.0})
+    assert not discovery.is_fleet_unknown
+    assert discovery.assumed_regions(members) == {"m2": "ra", "m9": "rc"}
+    assert discovery.assumed_capacities(members, 9.0) == [2.0, 4.0]
+    both = [*members, member("m2", "zb", "ra", leaving=True)]
+    assert discovery.assumed_regions(both) == {"m9": "rc"}
+
+
+def test_fleet_is_unknown_until_a_member_is_heard_of() -> None:
+    # Guard against processes whose seeds are down and that each take a part of a bound for any
+    # number of others.
+    discovery = MemberDiscovery(ManualClock(), ZONE_REGIONS)
+    version = discovery.version
+    discovery.update(is_joined=True)
+    assert not discovery.is_fleet_unknown and discovery.version != version
