fleetrecord: replace a record that can't be read

Cause: a record that another writer had spoiled raised an error at each read, so that the member that writes never knew its revision and could not replace it. Hosts that restarted without seeds would have had no part of an allotment for good.

Change: an unreadable record counts as an empty one, with its revision.

Measured: test_unreadable_record_is_replaced failed on the code before, 20 of 20 tests of test_fleetrecord.py pass now.

--- a/berylchute/fleetrecord/keeper.py
+++ b/berylchute/fleetrecord/keeper.py
@@ -99,7 +99,7 @@
             if now_s >= self._next_call_s:
                 try:
                     await self._step(now_s)
-                except (StoreError, ConfigError) as error:
+                except StoreError as error:
                     self._revision = None
                     self._next_call_s = self._retry_at_s()
                     _LOG.info(
@@ -144,7 +144,7 @@
         stored = await self._store.read_record(may_be_stale=may_be_stale)
         self._read_at_s = self._clock.now_s()
         had_record = bool(self._record.hosts)
-        self._record = decode_record(stored.value) if stored else FleetRecord()
+        self._record = _decode_or_empty(stored)
         self._has_found_none = stored is None
         if not may_be_stale:
             self._revision = stored.revision if stored else 0
@@ -174,3 +174,12 @@
         delay_s = self._retry_delay_s * self._rng.uniform(0.5, 1.0)
         self._retry_delay_s = min(RETRY_MAX_S, 2.0 * self._retry_delay_s)
         return self._clock.now_s() + delay_s
+
+
+def _decode_or_empty(stored: StoredRecord | None) -> FleetRecord:
+    """Return the record, an empty one if it can't be read, so that a writer replaces it."""
+    try:
+        return decode_record(stored.value) if stored else FleetRecord()
+    except ConfigError as error:
+        _LOG.warning("taking the record of hosts for empty: %s", error)
+        return FleetRecord()
--- a/tests/test_fleetrecord.py
+++ b/tests/test_fleetrecord.py
@@ -208,3 +208,13 @@
     _run(store, _Members("a", "b"), MEMBER_DISCOVERY_S + 3.0)
     assert store.stored is not None and store.stored.revision == 8
     assert sorted(decode_record(store.stored.value).hosts) == ["a", "b", "x"]
+
+
+def test_unreadable_record_is_replaced() -> None:
+    # Guard against a record that another writer spoiled and that no member can write again.
+    store = _Store(StoredRecord({"hosts": "odd"}, 7))
+    alone = _run(store, _Members("b"), 60.0, own="b", is_joined=False)
+    assert alone.is_fleet_unknown
+    _run(store, _Members("a", "b"), MEMBER_DISCOVERY_S + 3.0)
+    assert store.stored is not None and store.stored.revision == 8
+    assert sorted(decode_record(store.stored.value).hosts) == ["a", "b"]
